--- /dev/null
+++ b/src/app/controller.cpp
@@ -0,0 +1,62 @@
+#include "app/controller.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace finchrun::app {
+namespace {
+
+// A loop that throws is a bug; it is logged and the process ends rather than going on half alive.
+void ended(std::exception_ptr e) {
+  if (!e) return;
+  try {
+    std::rethrow_exception(e);
+  } catch (const std::exception& x) {
+    spdlog::critical("a loop ended: {}", x.what());
+  }
+  std::_Exit(3);
+}
+
+}  // namespace
+
+Controller::Controller(asio::io_context& io, const config::Settings& s, const config::Tuning& t)
+    : io_(io),
+      settings_(s),
+      tuning_(t),
+      store_(io.get_executor(), s),
+      cloud_(io.get_executor(), s),
+      world_(s, t),
+      sync_wake_(io),
+      writer_wake_(io),
+      random_(std::random_device{}()) {}
+
+void Controller::start() {
+  const int reserve = 60 + 2 * static_cast<int>(settings_.members.size());
+  asio::co_spawn(io_,
+                 http::serve(
+                     settings_.listen, [this](http::Request r) { return handle(std::move(r)); },
+                     std::max(16, settings_.max_sockets - reserve)),
+                 ended);
+  asio::co_spawn(io_, member_loop(), ended);
+  asio::co_spawn(io_, sync_loop(), ended);
+  asio::co_spawn(io_, claim_loop(), ended);
+  asio::co_spawn(io_, push_loop(), ended);
+  asio::co_spawn(io_, writer_loop(), ended);
+  asio::co_spawn(io_, cloud_loop(), ended);
+}
+
+core::Steady::duration Controller::jitter(double seconds) {
+  std::uniform_real_distribution<double> spread(0.8, 1.2);
+  return core::secs(seconds * spread(random_));
+}
+
+asio::awaitable<void> Controller::sleep(double seconds) {
+  asio::steady_timer timer(io_, jitter(seconds));
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+}  // namespace finchrun::app
--- /dev/null
+++ b/src/app/controller.hpp
@@ -0,0 +1,98 @@
+// Wires the parts together: one process, one io_context, a handful of coroutine loops over one world.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <memory>
+#include <random>
+
+#include "app/world.hpp"
+#include "cloud/cloud.hpp"
+#include "core/locked.hpp"
+#include "http/server.hpp"
+#include "sched/deal.hpp"
+#include "sched/place.hpp"
+#include "state/store.hpp"
+
+namespace finchrun::app {
+
+namespace asio = boost::asio;
+
+class Controller {
+ public:
+  Controller(asio::io_context& io, const config::Settings& s, const config::Tuning& t);
+  // Starts the loops; they run until the context ends.
+  void start();
+
+  // The users', workers' and health checks' interface.
+  asio::awaitable<http::Response> handle(http::Request request);
+
+ private:
+  // State service: membership and the mirror.
+  asio::awaitable<void> member_loop();
+  asio::awaitable<bool> join();
+  asio::awaitable<void> sync_loop();
+  asio::awaitable<bool> load();
+  // Waits until a read of the store's changes that was sent after now has been taken in.
+  asio::awaitable<bool> barrier(core::TimePoint deadline);
+  asio::awaitable<void> claim_loop();
+  asio::awaitable<void> claim(core::PartId part, std::string from);
+  asio::awaitable<void> hand_back(core::PartId part, std::string to);
+  asio::awaitable<void> push_loop();
+  asio::awaitable<void> push(core::MachineId machine);
+
+  // Own parts: records and rounds. One coroutine, so that the writes of this controller never race each other.
+  asio::awaitable<void> writer_loop();
+  asio::awaitable<void> flush();
+  asio::awaitable<void> round();
+  asio::awaitable<void> move_ranges();
+  asio::awaitable<void> save_usage();
+  asio::awaitable<state::Committed> commit(state::Txn txn);
+
+  // Cloud.
+  asio::awaitable<void> cloud_loop();
+  asio::awaitable<void> refresh_flavors();
+  asio::awaitable<void> refresh_machines();
+  asio::awaitable<void> return_machines();
+  asio::awaitable<void> hire();
+
+  // Users.
+  asio::awaitable<http::Response> submit(const std::string& body);
+  asio::awaitable<http::Response> query(const std::string& id);
+  asio::awaitable<http::Response> abort(const std::string& id);
+  http::Response hello(const std::string& body);
+  http::Response status_of(core::JobId id);
+
+  asio::awaitable<void> sleep(double seconds);
+  [[nodiscard]] core::Steady::duration jitter(double seconds);
+
+  asio::io_context& io_;
+  const config::Settings settings_;
+  const config::Tuning tuning_;
+  state::Store store_;
+  cloud::Cloud cloud_;
+  core::Locked<World> world_;
+
+  struct Waiter {
+    core::TimePoint arrived;
+    bool served = false;
+    asio::steady_timer timer;
+  };
+  std::list<std::shared_ptr<Waiter>> waiters_;
+  asio::steady_timer sync_wake_;
+  asio::steady_timer writer_wake_;
+  core::TimePoint next_round_{};
+  std::set<std::uint64_t> own_team_stamps_;  // of this round's own commits
+  std::vector<sched::Demand> backlog_;  // what the last round could not place
+  std::vector<core::PartId> backlog_part_;
+  std::map<std::string, core::TimePoint> no_capacity_until_;
+  std::uint64_t hire_count_ = 0;
+  std::mt19937 random_;
+};
+
+// What the part offers to a job, for dealing.
+std::vector<sched::PartRoom> part_rooms(const World& w, const jobs::JobSpec& spec, core::TimePoint now);
+
+}  // namespace finchrun::app
--- /dev/null
+++ b/src/app/users.cpp
@@ -0,0 +1,243 @@
+// The interface of users, workers and health checks.
+#include <spdlog/spdlog.h>
+
+#include "app/controller.hpp"
+
+namespace finchrun::app {
+namespace {
+
+using state::Outcome;
+
+http::Response error(int status, std::string_view why, std::optional<int> retry_after = std::nullopt) {
+  return {status, wire::render_error(why), retry_after};
+}
+http::Response later(std::string_view why, int seconds = 1) { return error(503, why, seconds); }
+
+// Checks what needs the deployment's names. Nothing if it can run; else why it never can.
+std::optional<std::string> never_runs(const World& w, const wire::Submission& s, const jobs::JobSpec& spec) {
+  const auto team = std::find_if(w.s.teams.begin(), w.s.teams.end(), [&](const auto& t) { return t.name == s.team; });
+  if (team == w.s.teams.end()) return "unknown team";
+  const bool fits = std::any_of(w.fleet.flavors.begin(), w.fleet.flavors.end(), [&](const cloud::Flavor& f) {
+    if (s.types && std::find(s.types->begin(), s.types->end(), f.name) == s.types->end()) return false;
+    if (s.zone && std::find(f.zones.begin(), f.zones.end(), *s.zone) == f.zones.end()) return false;
+    return spec.need.fits(f.size);
+  });
+  if (!fits) return "a task fits no allowed machine type";
+  const double n = spec.gang ? spec.tasks : 1;
+  const sched::TeamRoom empty{{}, team->cpus_max, team->gpus_max};
+  if (!empty.allows(spec.need * n)) return "the job needs more than its team's limit";
+  if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1) return "together and scatter exclude each other";
+  return std::nullopt;
+}
+
+}  // namespace
+
+asio::awaitable<http::Response> Controller::handle(http::Request request) {
+  const std::string_view target = request.target;
+  const auto path = target.substr(0, target.find('?'));
+  constexpr std::string_view kJobs = "/submissions";
+  const bool get = request.method == "GET", post = request.method == "POST";
+  if (path == "/hello") {
+    if (!post) co_return error(405, "method not allowed");
+    co_return hello(request.body);
+  }
+  if (path == "/up") {
+    if (!get) co_return error(405, "method not allowed");
+    const bool ready = world_.with([](World& w) { return w.loaded; });
+    if (!ready) co_return later("starting");
+    co_return http::Response{200, "{}"};
+  }
+  if (path == kJobs) {
+    if (!post) co_return error(405, "method not allowed");
+    co_return co_await submit(request.body);
+  }
+  if (path.starts_with(kJobs) && path.size() > kJobs.size() + 1 && path[kJobs.size()] == '/') {
+    auto rest = path.substr(kJobs.size() + 1);
+    constexpr std::string_view kAbort = "/abort";
+    if (rest.ends_with(kAbort)) {
+      const std::string id(rest.substr(0, rest.size() - kAbort.size()));
+      if (!post) co_return error(405, "method not allowed");
+      if (!wire::valid_job_id(id)) co_return error(404, "no such job");
+      co_return co_await abort(id);
+    }
+    if (rest.find('/') == std::string_view::npos) {
+      if (!get) co_return error(405, "method not allowed");
+      const std::string id(rest);
+      if (!wire::valid_job_id(id)) co_return error(404, "no such job");
+      co_return co_await query(id);
+    }
+  }
+  co_return error(404, "no such path");
+}
+
+http::Response Controller::status_of(core::JobId id) {
+  return world_.with([&](World& w) {
+    const auto& name = w.names.jobs.name(id);
+    const auto* job = w.mirror.job(id);
+    if (!job) return error(404, "no such job");
+    if (job->status == jobs::Status::cancelled) return http::Response{200, wire::render_status(name, "cancelled")};
+    if (job->status == jobs::Status::done)
+      return http::Response{200, wire::render_status(name, "done", job->spec.tasks, 0)};
+    const auto running = w.mirror.placed(id);
+    return http::Response{
+        200, wire::render_status(name, running > 0 ? "running" : "pending", w.mirror.done(id), running)};
+  });
+}
+
+asio::awaitable<http::Response> Controller::query(const std::string& id) {
+  // A final state can't change any more: the copy is proof enough.
+  const auto final_id = world_.with([&](World& w) -> std::optional<core::JobId> {
+    const auto known = w.names.jobs.find(id);
+    if (!known) return std::nullopt;
+    const auto* job = w.mirror.job(*known);
+    return job && job->status != jobs::Status::live ? known : std::nullopt;
+  });
+  if (final_id) co_return status_of(*final_id);
+  if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200))) co_return later("state unknown");
+  const auto known = world_.with([&](World& w) { return w.names.jobs.find(id); });
+  if (!known) co_return error(404, "no such job");
+  co_return status_of(*known);
+}
+
+asio::awaitable<http::Response> Controller::submit(const std::string& body) {
+  auto parsed = wire::parse_submission(body);
+  if (const auto* bad = std::get_if<wire::Malformed>(&parsed)) co_return error(400, bad->why);
+  auto& s = std::get<wire::Submission>(parsed);
+
+  enum class Next { known, never, undecided, go };
+  std::string why;
+  state::Txn txn;
+  const Next next = world_.with([&](World& w) {
+    if (const auto id = w.names.jobs.find(s.id); id && w.mirror.job(*id)) return Next::known;
+    if (!w.loaded || w.fleet.flavors.empty()) return Next::undecided;
+    if (auto never = never_runs(w, s, s.spec)) {
+      why = *never;
+      return Next::never;
+    }
+    auto& spec = s.spec;
+    spec.lane = w.names.lanes.intern(s.lane);
+    spec.team = *w.names.teams.find(s.team);
+    spec.image = w.names.images.intern(s.image);
+    if (s.zone) spec.zone = w.names.zones.intern(*s.zone);
+    if (s.types) {
+      spec.types.emplace();
+      for (const auto& t : *s.types)
+        if (auto id = w.names.types.find(t); id && w.fleet.flavor(*id)) spec.types->push_back(*id);
+    }
+    spec.submitted_s = core::wall_s();
+    jobs::JobRecord record;
+    record.spec = spec;
+    record.ranges = sched::deal(spec, part_rooms(w, spec, core::Steady::now()));
+    txn.when.push_back({state::keys::job(s.id), 0});
+    txn.then.push_back({state::keys::job(s.id), jobs::to_json(record, w.names)});
+    return Next::go;
+  });
+  // 422 and 400 are final to the user, so they are only given when this node is sure that the job is not known.
+  if (next == Next::undecided) co_return later("not ready to decide");
+  if (next == Next::never) {
+    if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200))) co_return later("state unknown");
+    const bool known = world_.with([&](World& w) {
+      const auto id = w.names.jobs.find(s.id);
+      return id && w.mirror.job(*id);
+    });
+    if (!known) co_return error(422, why);
+  }
+  if (next == Next::known || next == Next::never) co_return co_await query(s.id);
+
+  if (!store_.spend(1)) co_return later("too many submissions");
+  const auto result = co_await commit(std::move(txn));
+  switch (result.outcome) {
+    case Outcome::done:
+      spdlog::info("accepted job={} team={} tasks={} gang={}", s.id, s.team, s.spec.tasks, s.spec.gang);
+      co_return http::Response{201, wire::render_status(s.id, "pending")};
+    case Outcome::conflict:
+      co_return co_await query(s.id);
+    case Outcome::unknown: {
+      // It might be applied: what the record says after it decides.
+      if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1000))) co_return later("state unknown");
+      const bool known = world_.with([&](World& w) {
+        const auto id = w.names.jobs.find(s.id);
+        return id && w.mirror.job(*id);
+      });
+      if (known) co_return co_await query(s.id);
+      co_return later("state unknown");
+    }
+    default:
+      co_return later("state service refuses");
+  }
+}
+
+asio::awaitable<http::Response> Controller::abort(const std::string& id) {
+  const auto deadline = core::Steady::now() + std::chrono::milliseconds(3000);
+  for (int attempt = 0; attempt < 5 && core::Steady::now() < deadline; ++attempt) {
+    state::Txn txn;
+    enum class Next { unknown, final, go };
+    core::JobId job_id;
+    const Next next = world_.with([&](World& w) {
+      const auto known = w.names.jobs.find(id);
+      const auto* job = known ? w.mirror.job(*known) : nullptr;
+      if (!job) return Next::unknown;
+      job_id = *known;
+      if (job->status != jobs::Status::live) return Next::final;
+      jobs::JobRecord over;
+      over.status = jobs::Status::cancelled;
+      over.spec = job->spec;
+      txn.when.push_back({state::keys::job(id), job->stamp});
+      txn.then.push_back({state::keys::job(id), jobs::to_json(over, w.names)});
+      return Next::go;
+    });
+    if (next == Next::final) co_return status_of(job_id);
+    if (next == Next::go) {
+      // Not held up by the write budget: cancellations must not be starved by anything.
+      store_.spend(1);
+      const auto result = co_await commit(std::move(txn));
+      if (result.outcome == Outcome::done) {
+        spdlog::info("cancelled job={}", id);
+        co_return status_of(job_id);
+      }
+      if (result.outcome == Outcome::refused) co_return later("state service refuses");
+    }
+    if (!co_await barrier(deadline)) co_return later("state unknown");
+    if (next == Next::unknown && !world_.with([&](World& w) {
+          const auto known = w.names.jobs.find(id);
+          return known && w.mirror.job(*known);
+        }))
+      co_return error(404, "no such job");
+  }
+  co_return later("state unknown");
+}
+
+http::Response Controller::hello(const std::string& body) {
+  auto parsed = wire::parse_report(body);
+  if (const auto* bad = std::get_if<wire::Malformed>(&parsed)) return error(400, bad->why);
+  const auto& r = std::get<wire::Report>(parsed);
+  const auto now = core::Steady::now();
+  bool changed = false;
+  auto response = world_.with([&](World& w) -> http::Response {
+    const auto zone = w.names.zones.find(r.zone);
+    const auto part = zone ? w.parts.part_of(r.machine, *zone) : std::nullopt;
+    if (!part) return http::Response{421, wire::render_moved(std::nullopt)};
+    if (!w.acting(*part)) {
+      const auto& owner = w.mirror.claim(*part).owner;
+      const bool elsewhere = w.loaded && !owner.empty() && owner != w.s.label && w.alive(owner);
+      if (!elsewhere) return later("no owner");
+      return http::Response{421, wire::render_moved(owner)};
+    }
+    if (!w.news_fresh(now)) return later("no news from the state service");
+    auto& m = w.fleet.intern(w.names, r.machine);
+    if (m.first_seen == core::TimePoint{}) m.first_seen = now;
+    m.type = w.names.types.intern(r.type);
+    m.zone = *zone;
+    m.part = *part;
+    m.spot = r.spot;
+    auto result = worker::take_report({w.names, w.mirror, w.fleet, w.trouble, w.token(*part), now}, m, r);
+    if (result.kind == worker::ReportResult::Kind::deposed) return http::Response{421, wire::render_moved(std::nullopt)};
+    if (result.kind == worker::ReportResult::Kind::outdated) return later("outdated");
+    changed = result.changed;
+    return http::Response{200, wire::render_orders(w.token(*part), result.orders)};
+  });
+  if (changed) writer_wake_.cancel();
+  return response;
+}
+
+}  // namespace finchrun::app
--- /dev/null
+++ b/src/app/world.cpp
@@ -0,0 +1,51 @@
+#include "app/world.hpp"
+
+namespace finchrun::app {
+namespace {
+
+jobs::Names names_for(const config::Settings& s) {
+  jobs::Names names;
+  for (const auto& t : s.teams) names.teams.intern(t.name);
+  return names;
+}
+
+}  // namespace
+
+World::World(const config::Settings& settings, const config::Tuning& tuning)
+    : s(settings),
+      t(tuning),
+      names(names_for(settings)),
+      parts(settings, tuning, names),
+      mirror(names, parts.size(), settings.teams.size()),
+      usage(parts.size(), ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
+      usage_from(parts.size(), 0),
+      owner_missing_since(parts.size()) {
+  for (const auto& team : s.teams) shares.push_back(team.gpus > 0 ? team.gpus : team.cpus > 0 ? team.cpus : 1.0);
+}
+
+core::Resources World::used_on(core::MachineId id) const {
+  core::Resources used;
+  for (const auto& [key, run] : mirror.runs()) {
+    const auto* job = mirror.job(key.first);
+    for (const auto& e : run.entries)
+      if (e.machine == id && job) used += job->spec.need;
+  }
+  return used;
+}
+
+std::vector<core::Resources> World::used_by_team() const {
+  std::vector<core::Resources> used(s.teams.size());
+  for (const auto& [key, run] : mirror.runs()) {
+    const auto* job = mirror.job(key.first);
+    if (!job || !job->spec.team.valid() || job->spec.team.v >= used.size()) continue;
+    used[job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
+  }
+  return used;
+}
+
+bool World::usable(const worker::Machine& m, core::TimePoint now) const {
+  return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing && m.strangers == 0 &&
+         core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
+}
+
+}  // namespace finchrun::app
--- /dev/null
+++ b/src/app/world.hpp
@@ -0,0 +1,60 @@
+// Everything a controller decides from, behind one short lock.
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "config/settings.hpp"
+#include "ledger/usage.hpp"
+#include "membership/parts.hpp"
+#include "state/mirror.hpp"
+#include "worker/fleet.hpp"
+#include "worker/reports.hpp"
+
+namespace finchrun::app {
+
+struct World {
+  World(const config::Settings& settings, const config::Tuning& tuning);
+
+  config::Settings s;
+  config::Tuning t;
+  jobs::Names names;
+  membership::PartMap parts;
+  state::Mirror mirror;
+  worker::Fleet fleet;
+  std::unordered_map<core::JobId, worker::JobTrouble> trouble;
+  std::vector<ledger::UsageWindows> usage;  // by part; only those of own parts are kept up to date here
+  std::vector<std::uint64_t> usage_from;    // term under which `usage` was taken over
+  std::vector<double> shares;               // by team, from its guarantee
+
+  std::uint64_t incarnation = 0;  // of this process; 0: not a member yet
+  std::uint64_t hold = 0;
+  std::uint64_t joined_epoch = 0;  // of the write of our member key
+  bool loaded = false;            // the mirror has been filled once
+  core::TimePoint synced_at{};    // when the newest answered read of the changes was sent
+  std::vector<core::TimePoint> owner_missing_since;
+
+  // This process holds the newest claim that the mirror knows.
+  [[nodiscard]] bool owns(core::PartId p) const {
+    const auto& c = mirror.claim(p);
+    return loaded && incarnation != 0 && c.owner == s.label && c.incarnation == incarnation;
+  }
+  // Owns it, and has read everything that earlier owners recorded.
+  [[nodiscard]] bool acting(core::PartId p) const { return owns(p) && mirror.epoch() >= mirror.claim(p).stamp; }
+  [[nodiscard]] std::uint64_t token(core::PartId p) const { return mirror.claim(p).stamp; }
+  // An owner without news from the state service may be renewing tasks that were cancelled elsewhere: a worker it
+  // answers last now keeps them for another lease, and cancel_s must hold.
+  [[nodiscard]] bool news_fresh(core::TimePoint now) const {
+    return core::since(synced_at, now) < std::max(1.0, s.cancel_s - s.lease_s * 1.01 - 3.0);
+  }
+  // A member whose process runs, as far as the state service knows.
+  [[nodiscard]] bool alive(const std::string& label) const { return mirror.member(label) != nullptr; }
+
+  [[nodiscard]] core::Resources used_on(core::MachineId id) const;
+  [[nodiscard]] std::vector<core::Resources> used_by_team() const;
+  // Is the machine up and does its worker obey this controller?
+  [[nodiscard]] bool usable(const worker::Machine& m, core::TimePoint now) const;
+};
+
+}  // namespace finchrun::app
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,88 @@
+// The platform's settings file (TOML) and the operators' own properties.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace finchrun::config {
+
+// One line naming the field and the value; the program ends with status 2.
+struct SettingsError : std::runtime_error {
+  SettingsError(const std::string& field, const std::string& value, const std::string& why)
+      : std::runtime_error("bad setting: " + field + " = " + value + ": " + why) {}
+};
+
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+  [[nodiscard]] std::string text() const { return host + ":" + std::to_string(port); }
+};
+// An IPv4 address with a port, or nothing.
+std::optional<Endpoint> parse_endpoint(const std::string& text);
+
+struct Member {
+  std::string label;
+  std::string zone;
+  Endpoint peer;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0;  // 0: none guaranteed, no limit
+  double gpus = 0, gpus_max = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string lane;
+  double within_s = 0;
+  double share = 0;
+};
+
+struct Settings {
+  std::string label;
+  std::string zone;
+  Endpoint listen;
+  Endpoint peer_listen;
+  std::vector<Member> members;  // the other controllers
+  Endpoint cloud;
+  Endpoint state;
+  int nodes = 1;
+  std::vector<std::string> zones;
+  double clock_error_s = 0;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 3, lease_s = 30, gang_wait_s = 40, gang_peer_s = 6, cancel_s = 60;
+  double state_rps = 100, state_write_rps = 20, state_value_kb = 8;
+  int state_txn_ops = 16;
+  double cloud_rps = 5, cloud_list_lag_s = 5;
+  double core_share = 1, ram_mb = 0;
+  int max_sockets = 1000;
+};
+
+Settings load_settings(const std::string& path);
+
+// The operators' own settings. Defaults marked (paper) are the design's starting values.
+struct Tuning {
+  double window_s = 30;      // (paper) usage window
+  int windows = 12;          // (paper) windows kept
+  double decay = 0.8;        // (paper) decay per window
+  double image_factor = 0.3; // (paper) the three factors sum to 1
+  double size_factor = 0.1;
+  double usage_factor = 0.6;
+  double round_s = 2;        // (paper) placing round
+  int parts_per_zone = 0;    // 0: controllers over zones, at least 1
+  double member_ttl_s = 3;   // hold on a controller's membership
+  double flush_s = 0.25;     // batching of records into writes
+  double sync_s = 0.25;      // longest wait between reads of the store's changes
+  double idle_return_s = 600;  // a hired machine idle for this long is returned
+  int hire_batch = 4;          // most machines asked for in one rental request
+};
+
+Tuning load_properties(const std::string& path);
+void check(const Tuning& t);
+
+}  // namespace finchrun::config
--- /dev/null
+++ b/src/core/ids.hpp
@@ -0,0 +1,62 @@
+// Strong ids: names from the outside are mapped to dense indices at the door, and everything within works on those.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace finchrun::core {
+
+template <class Tag>
+struct Id {
+  static constexpr std::uint32_t kNone = std::numeric_limits<std::uint32_t>::max();
+  std::uint32_t v = kNone;
+  auto operator<=>(const Id&) const = default;
+  [[nodiscard]] bool valid() const { return v != kNone; }
+};
+
+using JobId = Id<struct JobTag>;
+using MachineId = Id<struct MachineTag>;
+using TeamId = Id<struct TeamTag>;
+using ZoneId = Id<struct ZoneTag>;
+using TypeId = Id<struct TypeTag>;
+using ImageId = Id<struct ImageTag>;
+using LaneId = Id<struct LaneTag>;
+using PartId = Id<struct PartTag>;
+
+// Maps names to dense indices, in the order in which they were first seen.
+template <class IdT>
+class Interner {
+ public:
+  IdT intern(std::string_view name) {
+    if (auto it = index_.find(std::string(name)); it != index_.end()) return it->second;
+    IdT id{static_cast<std::uint32_t>(names_.size())};
+    names_.emplace_back(name);
+    index_.emplace(names_.back(), id);
+    return id;
+  }
+  [[nodiscard]] std::optional<IdT> find(std::string_view name) const {
+    auto it = index_.find(std::string(name));
+    if (it == index_.end()) return std::nullopt;
+    return it->second;
+  }
+  [[nodiscard]] const std::string& name(IdT id) const { return names_.at(id.v); }
+  [[nodiscard]] std::size_t size() const { return names_.size(); }
+
+ private:
+  std::vector<std::string> names_;
+  std::unordered_map<std::string, IdT> index_;
+};
+
+}  // namespace finchrun::core
+
+template <class Tag>
+struct std::hash<finchrun::core::Id<Tag>> {
+  std::size_t operator()(finchrun::core::Id<Tag> id) const noexcept { return std::hash<std::uint32_t>{}(id.v); }
+};
--- /dev/null
+++ b/src/core/json_impl.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled into the library once.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/jobs/job.cpp
@@ -0,0 +1,134 @@
+#include "jobs/job.hpp"
+
+#include <stdexcept>
+
+namespace finchrun::jobs {
+namespace {
+
+std::uint64_t whole(const json::value& v) { return v.to_number<std::uint64_t>(); }
+
+constexpr std::pair<Priority, const char*> kPriorities[] = {{Priority::idle, "idle"},
+                                                            {Priority::normal, "normal"},
+                                                            {Priority::high, "high"},
+                                                            {Priority::prod, "prod"}};
+
+}  // namespace
+
+const char* name_of(Priority p) {
+  for (const auto& [value, name] : kPriorities)
+    if (value == p) return name;
+  return "normal";
+}
+
+std::optional<Priority> priority_from(std::string_view s) {
+  for (const auto& [value, name] : kPriorities)
+    if (s == name) return value;
+  return std::nullopt;
+}
+
+json::value to_json(const JobRecord& r, const Names& names) {
+  json::object o;
+  const JobSpec& s = r.spec;
+  if (r.status != Status::live) {
+    // Tasks that are not certainly gone still take room on machines and of the team's limit.
+    o["st"] = r.status == Status::done ? "done" : "cancelled";
+    o["n"] = s.tasks;
+    o["team"] = names.teams.name(s.team);
+    o["need"] = json::array{s.need.cpus, s.need.gpus, s.need.ram_gb};
+    return o;
+  }
+  o["st"] = "live";
+  o["lane"] = names.lanes.name(s.lane);
+  o["team"] = names.teams.name(s.team);
+  o["gang"] = s.gang;
+  o["pri"] = name_of(s.priority);
+  o["n"] = s.tasks;
+  o["need"] = json::array{s.need.cpus, s.need.gpus, s.need.ram_gb};
+  o["img"] = names.images.name(s.image);
+  o["gb"] = s.image_gb;
+  if (s.types) {
+    json::array types;
+    for (auto t : *s.types) types.emplace_back(names.types.name(t));
+    o["types"] = std::move(types);
+  }
+  if (s.zone) o["zone"] = names.zones.name(*s.zone);
+  o["onez"] = s.one_zone;
+  o["sprd"] = s.spread;
+  o["spot"] = s.spot;
+  o["exp"] = s.expect_s;
+  o["ckpt"] = s.checkpoint_s;
+  o["save"] = s.save_s;
+  if (s.due_s) o["due"] = *s.due_s;
+  o["at"] = s.submitted_s;
+  json::array ranges;
+  for (const auto& range : r.ranges)
+    ranges.push_back(json::array{range.from, range.to, names.parts.name(range.part)});
+  o["r"] = std::move(ranges);
+  return o;
+}
+
+JobRecord job_from_json(const json::value& v, Names& names) {
+  const auto& o = v.as_object();
+  JobRecord r;
+  const auto& status = o.at("st").as_string();
+  JobSpec& s = r.spec;
+  s.tasks = static_cast<std::uint32_t>(whole(o.at("n")));
+  s.team = names.teams.intern(o.at("team").as_string());
+  const auto& need = o.at("need").as_array();
+  s.need = {need.at(0).to_number<double>(), need.at(1).to_number<double>(), need.at(2).to_number<double>()};
+  if (status != "live") {
+    r.status = status == "done" ? Status::done : Status::cancelled;
+    return r;
+  }
+  s.lane = names.lanes.intern(o.at("lane").as_string());
+  s.gang = o.at("gang").as_bool();
+  s.priority = priority_from(o.at("pri").as_string()).value();
+  s.image = names.images.intern(o.at("img").as_string());
+  s.image_gb = o.at("gb").to_number<double>();
+  if (const auto* types = o.if_contains("types")) {
+    s.types.emplace();
+    for (const auto& t : types->as_array()) s.types->push_back(names.types.intern(t.as_string()));
+  }
+  if (const auto* zone = o.if_contains("zone")) s.zone = names.zones.intern(zone->as_string());
+  s.one_zone = o.at("onez").as_bool();
+  s.spread = o.at("sprd").as_bool();
+  s.spot = o.at("spot").as_bool();
+  s.expect_s = o.at("exp").to_number<double>();
+  s.checkpoint_s = o.at("ckpt").to_number<double>();
+  s.save_s = o.at("save").to_number<double>();
+  if (const auto* due = o.if_contains("due")) s.due_s = due->to_number<double>();
+  s.submitted_s = o.at("at").to_number<double>();
+  for (const auto& item : o.at("r").as_array()) {
+    const auto& a = item.as_array();
+    auto part = names.parts.find(a.at(2).as_string());
+    if (!part) throw std::runtime_error("range of an unknown part");
+    r.ranges.push_back({static_cast<std::uint32_t>(whole(a.at(0))), static_cast<std::uint32_t>(whole(a.at(1))), *part});
+  }
+  return r;
+}
+
+json::value to_json(const RunRecord& r, const Names& names) {
+  json::array entries;
+  for (const auto& e : r.entries)
+    entries.push_back(json::array{e.task, e.attempt, names.machines.name(e.machine), e.session});
+  json::array done;
+  for (const auto& [a, b] : r.done.spans()) done.push_back(json::array{a, b});
+  return json::object{{"p", std::move(entries)}, {"d", std::move(done)}};
+}
+
+RunRecord run_from_json(const json::value& v, Names& names) {
+  const auto& o = v.as_object();
+  RunRecord r;
+  for (const auto& item : o.at("p").as_array()) {
+    const auto& a = item.as_array();
+    r.entries.push_back({static_cast<std::uint32_t>(whole(a.at(0))), whole(a.at(1)),
+                         names.machines.intern(a.at(2).as_string()), whole(a.at(3))});
+  }
+  for (const auto& item : o.at("d").as_array()) {
+    const auto& a = item.as_array();
+    r.done.add(static_cast<std::uint32_t>(whole(a.at(0))), static_cast<std::uint32_t>(whole(a.at(1))));
+  }
+  return r;
+}
+
+}  // namespace finchrun::jobs
--- /dev/null
+++ b/src/jobs/job.hpp
@@ -0,0 +1,106 @@
+// A job, what is durable about it, and the form in which the state service keeps that.
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ids.hpp"
+#include "core/resources.hpp"
+#include "jobs/intervals.hpp"
+
+namespace finchrun::jobs {
+
+namespace json = boost::json;
+
+// The one place where names become dense indices.
+struct Names {
+  core::Interner<core::TeamId> teams;
+  core::Interner<core::ZoneId> zones;
+  core::Interner<core::TypeId> types;
+  core::Interner<core::ImageId> images;
+  core::Interner<core::LaneId> lanes;
+  core::Interner<core::JobId> jobs;
+  core::Interner<core::MachineId> machines;
+  core::Interner<core::PartId> parts;
+};
+
+enum class Priority { idle = 0, normal = 1, high = 2, prod = 3 };
+
+struct JobSpec {
+  core::LaneId lane;
+  core::TeamId team;
+  bool gang = false;
+  Priority priority = Priority::normal;
+  std::uint32_t tasks = 1;
+  core::Resources need;
+  core::ImageId image;
+  double image_gb = 0;
+  std::optional<std::vector<core::TypeId>> types;  // nothing: any
+  std::optional<core::ZoneId> zone;
+  bool one_zone = false;
+  bool spread = false;
+  bool spot = false;
+  double expect_s = 0;
+  double checkpoint_s = 0;
+  double save_s = 0;
+  std::optional<double> due_s;
+  double submitted_s = 0;  // time of day
+
+  [[nodiscard]] bool allows_type(core::TypeId t) const {
+    return !types || std::find(types->begin(), types->end(), t) != types->end();
+  }
+  // `spread`: most of the tasks that may be in one zone.
+  [[nodiscard]] std::uint32_t zone_cap() const { return spread ? (tasks + 1) / 2 : tasks; }
+};
+
+enum class Status { live, done, cancelled };
+
+// Tasks [from, to) belong to a part; whoever owns the part owns them.
+struct Range {
+  std::uint32_t from = 0, to = 0;
+  core::PartId part;
+  bool operator==(const Range&) const = default;
+};
+
+// `jobs/<id>`
+struct JobRecord {
+  Status status = Status::live;
+  JobSpec spec;               // once the job is over: only what display needs
+  std::vector<Range> ranges;  // sorted; empty once the job is over
+  std::uint64_t stamp = 0;
+};
+
+// A task that may be on a machine: recorded before its start order leaves, removed only once it is certainly gone.
+struct Entry {
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  core::MachineId machine;
+  std::uint64_t session = 0;
+};
+
+// `run/<id>/<part>`: written by the part's owner only.
+struct RunRecord {
+  std::vector<Entry> entries;
+  Intervals done;
+  std::uint64_t stamp = 0;
+
+  [[nodiscard]] const Entry* find(std::uint32_t task) const {
+    for (const auto& e : entries)
+      if (e.task == task) return &e;
+    return nullptr;
+  }
+};
+
+json::value to_json(const JobRecord& r, const Names& names);
+json::value to_json(const RunRecord& r, const Names& names);
+// These throw on records that make no sense: they are ours, so that is a bug or a newer version.
+JobRecord job_from_json(const json::value& v, Names& names);
+RunRecord run_from_json(const json::value& v, Names& names);
+
+const char* name_of(Priority p);
+std::optional<Priority> priority_from(std::string_view s);
+
+}  // namespace finchrun::jobs
--- /dev/null
+++ b/src/sched/deal.cpp
@@ -0,0 +1,68 @@
+#include "sched/deal.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace finchrun::sched {
+namespace {
+
+// How good the part is for so many tasks at once; higher is better.
+double suits(const PartRoom& p, double tasks) {
+  const double spare = p.free - p.backlog;
+  double score = std::min(spare, tasks) / std::max(1.0, tasks) * 100;
+  if (p.has_image) score += 10;
+  // Between parts that are all full (or all free enough): the one whose queue is shortest for its size.
+  score += 5 * (spare / std::max(1.0, p.capacity));
+  if (p.capacity <= 0) score -= 1000;
+  return score;
+}
+
+}  // namespace
+
+std::vector<jobs::Range> deal(const jobs::JobSpec& spec, const std::vector<PartRoom>& parts) {
+  std::vector<PartRoom> open;
+  for (const auto& p : parts)
+    if (p.allowed) open.push_back(p);
+  if (open.empty()) open = parts;
+
+  if (spec.gang || spec.one_zone) {
+    const auto best = std::max_element(open.begin(), open.end(), [&](const PartRoom& a, const PartRoom& b) {
+      return suits(a, spec.tasks) < suits(b, spec.tasks);
+    });
+    return {{0, spec.tasks, best->part}};
+  }
+  // Task by task in effect, but computed by levels: first the room that is free, then by capacity.
+  std::map<core::PartId, std::uint32_t> share;
+  std::map<core::ZoneId, std::uint32_t> in_zone;
+  std::uint32_t left = spec.tasks;
+  const auto grant = [&](const PartRoom& p, double wish) {
+    const auto cap = spec.zone_cap() - std::min(spec.zone_cap(), in_zone[p.zone]);
+    const auto n = std::min({left, cap, static_cast<std::uint32_t>(std::max(0.0, std::floor(wish)))});
+    share[p.part] += n;
+    in_zone[p.zone] += n;
+    left -= n;
+  };
+  std::sort(open.begin(), open.end(), [&](const PartRoom& a, const PartRoom& b) {
+    return suits(a, spec.tasks) > suits(b, spec.tasks);
+  });
+  for (const auto& p : open) grant(p, p.free - p.backlog);
+  double capacity = 0;
+  for (const auto& p : open) capacity += std::max(1.0, p.capacity);
+  const std::uint32_t rest = left;
+  for (const auto& p : open) grant(p, std::ceil(rest * std::max(1.0, p.capacity) / capacity));
+  for (const auto& p : open) grant(p, left);
+  // `spread` in a deployment with too few zones: what no zone may take waits in the first part.
+  if (left > 0) share[open.front().part] += left;
+
+  std::vector<jobs::Range> out;
+  std::uint32_t at = 0;
+  for (const auto& [part, n] : share) {
+    if (n == 0) continue;
+    out.push_back({at, at + n, part});
+    at += n;
+  }
+  return out;
+}
+
+}  // namespace finchrun::sched
--- /dev/null
+++ b/src/sched/place.hpp
@@ -0,0 +1,69 @@
+// Greedy placement within one part: highest weight first; a gang only when all of its tasks fit.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/ids.hpp"
+#include "core/resources.hpp"
+#include "sched/rank.hpp"
+
+namespace finchrun::sched {
+
+struct Node {
+  core::MachineId id;
+  core::TypeId type;
+  core::ZoneId zone;
+  bool spot = false;
+  core::Resources size;
+  core::Resources free;
+  std::vector<core::ImageId> images;  // cached, or being fetched
+  double fetch_gb_per_s = 1;
+  double risk = 0;  // seconds that starting here is expected to cost more than elsewhere
+};
+
+struct Demand {
+  core::JobId job;
+  core::TeamId team;
+  core::ImageId image;
+  double image_gb = 0;
+  core::Resources need;
+  int priority = 0;
+  bool gang = false;
+  bool spot = false;
+  std::optional<std::vector<core::TypeId>> types;
+  std::optional<core::ZoneId> zone;
+  std::uint32_t count = 0;             // waiting tasks in all
+  std::vector<std::uint32_t> tasks;    // the first of them; for a gang all
+  std::uint32_t room_in_zone = 0;      // how many more tasks this zone may take (`spread`)
+  double waited_s = 0;
+};
+
+struct TeamRoom {
+  core::Resources used;
+  double cpus_max = 0, gpus_max = 0;  // 0: no limit
+  [[nodiscard]] bool allows(const core::Resources& more) const {
+    return (gpus_max <= 0 || used.gpus + more.gpus <= gpus_max + core::Resources::kSlack) &&
+           (cpus_max <= 0 || used.cpus + more.cpus <= cpus_max + core::Resources::kSlack);
+  }
+};
+
+struct Placement {
+  std::size_t demand = 0;  // index into the demands
+  std::uint32_t task = 0;
+  core::MachineId machine;
+};
+
+struct Plan {
+  std::vector<Placement> placements;
+  std::vector<std::size_t> unplaced;  // demands with tasks left, highest weight first
+};
+
+// True if the machine is of a type, zone and kind that the job allows.
+bool allowed(const Demand& d, const Node& n);
+
+Plan place(std::vector<Node> nodes, const std::vector<Demand>& demands, const std::vector<Costs>& costs,
+           std::vector<TeamRoom> teams);
+
+}  // namespace finchrun::sched
--- /dev/null
+++ b/src/state/store.cpp
@@ -0,0 +1,182 @@
+#include "state/store.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace finchrun::state {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto kLimit = 1500ms;
+
+// A controller may use somewhat more than an equal part, since the others seldom use all of theirs.
+double part_of(double total, int nodes) { return total * std::min(1.0, 1.5 / nodes); }
+
+std::optional<json::value> parse(const std::string& body) {
+  boost::system::error_code ec;
+  json::value v = json::parse(body, ec);
+  if (ec || !v.is_object()) return std::nullopt;
+  return v;
+}
+
+// Kept out of the coroutines: GCC 12 can't hold initializer lists in a coroutine's frame.
+std::string txn_body(Txn& txn) {
+  json::array when;
+  for (const auto& c : txn.when) when.push_back(json::object{{"k", c.key}, {"stamp", c.stamp}});
+  json::array then;
+  for (auto& c : txn.then) {
+    json::object o;
+    if (c.value) {
+      o["set"] = c.key;
+      o["data"] = std::move(*c.value);
+      if (c.hold) o["hold"] = *c.hold;
+    } else {
+      o["delete"] = c.key;
+    }
+    then.push_back(std::move(o));
+  }
+  return json::serialize(json::object{{"when", std::move(when)}, {"then", std::move(then)}});
+}
+std::string grant_body(int ttl_ms) { return json::serialize(json::object{{"ttlMs", ttl_ms}}); }
+
+std::uint64_t whole(const json::value& v) { return v.to_number<std::uint64_t>(); }
+
+Event read_item(const json::object& o, const char* key_field) {
+  Event e;
+  e.key = std::string(o.at(key_field).as_string());
+  e.value = o.at("data");
+  e.stamp = whole(o.at("stamp"));
+  return e;
+}
+
+std::string escape(const std::string& s) {
+  static constexpr char kHex[] = "0123456789ABCDEF";
+  std::string out;
+  for (unsigned char c : s) {
+    if (std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '~' || c == '/') {
+      out += static_cast<char>(c);
+    } else {
+      out += '%';
+      out += kHex[c >> 4];
+      out += kHex[c & 15];
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+Store::Store(asio::any_io_executor executor, const config::Settings& s)
+    : client_(executor, s.state, 6),
+      renewals_(executor, s.state, 1),
+      requests_(part_of(s.state_rps, s.nodes), part_of(s.state_rps, s.nodes) * 0.7, core::Steady::now()),
+      writes_(part_of(s.state_write_rps, s.nodes), part_of(s.state_write_rps, s.nodes), core::Steady::now()) {}
+
+bool Store::spend(int writes) { return writes_.take(writes, 0, core::Steady::now()); }
+
+asio::awaitable<http::Answer> Store::call(http::Verb verb, std::string target, std::string body, double reserve) {
+  if (!requests_.take(1, reserve, core::Steady::now())) co_return http::Answer{429, {}};
+  http::Answer answer = co_await client_.call(verb, std::move(target), std::move(body), kLimit);
+  if (answer.status == 429) requests_.refused(core::Steady::now());
+  co_return answer;
+}
+
+asio::awaitable<Committed> Store::commit(Txn txn) {
+  std::string body = txn_body(txn);
+  http::Answer answer = co_await call(http::Verb::post, "/commit", std::move(body), 0.15);
+  Committed out;
+  switch (answer.status) {
+    case 200:
+    case 409: {
+      auto v = parse(answer.body);
+      if (!v) co_return out;
+      try {
+        out.epoch = whole(v->at("epoch"));
+        out.outcome = answer.status == 200 ? Outcome::done : Outcome::conflict;
+        if (answer.status == 409)
+          for (const auto& k : v->at("failed").as_array()) out.failed.emplace_back(k.as_string());
+      } catch (const std::exception&) {
+        out = Committed{};
+      }
+      co_return out;
+    }
+    case 400:
+      out.outcome = answer.body.find("no such lease") != std::string::npos ? Outcome::no_hold : Outcome::malformed;
+      if (out.outcome == Outcome::malformed) spdlog::error("state: commit malformed: {}", answer.body);
+      co_return out;
+    case 429:
+    case 503:
+      out.outcome = Outcome::refused;
+      co_return out;
+    default:
+      co_return out;
+  }
+}
+
+asio::awaitable<Changes> Store::changes(std::uint64_t from) {
+  http::Answer answer = co_await call(http::Verb::get, "/follow?under=&from=" + std::to_string(from) + "&blockMs=0",
+                                      {}, 0.1);
+  Changes out;
+  if (answer.status == 410) out.kind = Changes::Kind::too_old;
+  if (answer.status != 200) co_return out;
+  auto v = parse(answer.body);
+  if (!v) co_return out;
+  try {
+    out.epoch = whole(v->at("epoch"));
+    for (const auto& item : v->at("events").as_array()) {
+      const auto& o = item.as_object();
+      if (o.contains("delete")) {
+        out.events.push_back({std::string(o.at("delete").as_string()), std::nullopt, whole(o.at("stamp"))});
+      } else {
+        out.events.push_back(read_item(o, "set"));
+      }
+    }
+    out.kind = Changes::Kind::ok;
+  } catch (const std::exception& e) {
+    spdlog::warn("state: changes do not parse: {}", e.what());
+    out = Changes{};
+  }
+  co_return out;
+}
+
+asio::awaitable<Page> Store::list(std::string after, int limit) {
+  std::string target = "/store?under=&limit=" + std::to_string(limit);
+  if (!after.empty()) target += "&from=" + escape(after);
+  http::Answer answer = co_await call(http::Verb::get, std::move(target), {}, 0.1);
+  Page out;
+  if (answer.status != 200) co_return out;
+  auto v = parse(answer.body);
+  if (!v) co_return out;
+  try {
+    out.epoch = whole(v->at("epoch"));
+    out.more = v->at("hasNext").as_bool();
+    for (const auto& item : v->at("items").as_array()) out.items.push_back(read_item(item.as_object(), "k"));
+    out.ok = true;
+  } catch (const std::exception& e) {
+    spdlog::warn("state: list does not parse: {}", e.what());
+    out = Page{};
+  }
+  co_return out;
+}
+
+asio::awaitable<std::optional<std::uint64_t>> Store::grant(int ttl_ms) {
+  requests_.take(1, -10, core::Steady::now());
+  http::Answer answer =
+      co_await renewals_.call(http::Verb::post, "/grants", grant_body(ttl_ms), kLimit);
+  if (answer.status != 200) co_return std::nullopt;
+  auto v = parse(answer.body);
+  if (!v || !v->as_object().contains("hold")) co_return std::nullopt;
+  try {
+    co_return whole(v->at("hold"));
+  } catch (const std::exception&) {
+    co_return std::nullopt;
+  }
+}
+
+asio::awaitable<int> Store::extend(std::uint64_t hold) {
+  requests_.take(1, -10, core::Steady::now());
+  http::Answer answer =
+      co_await renewals_.call(http::Verb::post, "/grants/" + std::to_string(hold) + "/extend", {}, kLimit);
+  co_return answer.status;
+}
+
+}  // namespace finchrun::state
--- /dev/null
+++ b/src/state/store.hpp
@@ -0,0 +1,86 @@
+// Client of the state service. All answers are typed; an answer that does not parse counts as no answer.
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/client.hpp"
+#include "state/budget.hpp"
+
+namespace finchrun::state {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+struct Condition {
+  std::string key;
+  std::uint64_t stamp = 0;  // 0: the key does not exist
+};
+struct Change {
+  std::string key;
+  std::optional<json::value> value;  // nothing: delete
+  std::optional<std::uint64_t> hold = std::nullopt;
+};
+struct Txn {
+  std::vector<Condition> when;
+  std::vector<Change> then;
+};
+
+enum class Outcome {
+  done,       // applied
+  conflict,   // a condition failed, nothing applied
+  no_hold,    // the hold has ended, nothing applied
+  refused,    // not executed: over a limit, or an outage
+  malformed,  // not executed: a mistake of ours
+  unknown,    // no answer: might be applied, now or later
+};
+struct Committed {
+  Outcome outcome = Outcome::unknown;
+  std::uint64_t epoch = 0;
+  std::vector<std::string> failed;
+};
+
+struct Event {
+  std::string key;
+  std::optional<json::value> value;
+  std::uint64_t stamp = 0;
+};
+struct Changes {
+  enum class Kind { ok, too_old, failed } kind = Kind::failed;
+  std::uint64_t epoch = 0;
+  std::vector<Event> events;
+};
+struct Page {
+  bool ok = false;
+  bool more = false;
+  std::uint64_t epoch = 0;
+  std::vector<Event> items;
+};
+
+class Store {
+ public:
+  Store(asio::any_io_executor executor, const config::Settings& s);
+
+  asio::awaitable<Committed> commit(Txn txn);
+  // Every change after `from`; the answer is at least as new as the moment of the call.
+  asio::awaitable<Changes> changes(std::uint64_t from);
+  asio::awaitable<Page> list(std::string after, int limit);
+  asio::awaitable<std::optional<std::uint64_t>> grant(int ttl_ms);
+  // Status of the renewal: 200 renewed, 404 the hold has ended, 0 or 503 unknown.
+  asio::awaitable<int> extend(std::uint64_t hold);
+  // Room for `writes` changes now? Spends it.
+  bool spend(int writes);
+
+ private:
+  asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body, double reserve);
+
+  http::Client client_;
+  http::Client renewals_;  // own connection: a renewal never waits behind a large answer
+  Budget requests_;
+  Budget writes_;
+};
+
+}  // namespace finchrun::state
--- /dev/null
+++ b/src/worker/fleet.hpp
@@ -0,0 +1,109 @@
+// What this controller knows of the machines: from the cloud's list, from reports, from its own orders.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "cloud/cloud.hpp"
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "jobs/job.hpp"
+#include "membership/parts.hpp"
+#include "wire/messages.hpp"
+
+namespace finchrun::worker {
+
+struct Machine {
+  core::MachineId id;
+  std::string name;
+  std::string endpoint;
+  core::TypeId type;
+  core::ZoneId zone;
+  core::PartId part;
+  bool spot = false;
+  core::TimePoint first_seen{};
+
+  // The cloud's list.
+  bool listed = false;         // in the newest list
+  bool ever_listed = false;
+  std::string status;          // starting, running, failed
+  core::TimePoint starting_since{};
+
+  // Reports, newest only.
+  bool reported = false;
+  std::uint64_t session = 0, seq = 0, token = 0;
+  core::TimePoint last_report{};
+  core::TimePoint last_push{};
+  std::optional<double> notice_s;
+  std::size_t strangers = 0;  // pieces on it that no record knows
+  core::TimePoint idle_since{};
+
+  // Images it should hold, least recently used first.
+  std::vector<std::pair<core::ImageId, double>> images;
+
+  // Faults: jobs whose tasks failed here since the last task that ended well.
+  std::set<core::JobId> failed_jobs;
+  core::TimePoint avoid_until{};
+  bool sick = false;
+  bool releasing = false;
+};
+
+// An entry of a run record, as a key.
+using Start = std::tuple<core::JobId, std::uint32_t, std::uint64_t>;  // job, task, attempt
+
+// What reports have shown and the state service does not know yet.
+struct Fact {
+  core::JobId job;
+  core::PartId part;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  bool done = false;
+  auto operator<=>(const Fact&) const = default;
+};
+
+class Fleet {
+ public:
+  Machine& intern(jobs::Names& names, const std::string& name) {
+    const auto id = names.machines.intern(name);
+    auto [it, fresh] = machines_.try_emplace(id);
+    if (fresh) {
+      it->second.id = id;
+      it->second.name = name;
+    }
+    return it->second;
+  }
+  [[nodiscard]] Machine* find(core::MachineId id) {
+    auto it = machines_.find(id);
+    return it == machines_.end() ? nullptr : &it->second;
+  }
+  [[nodiscard]] const Machine* find(core::MachineId id) const {
+    auto it = machines_.find(id);
+    return it == machines_.end() ? nullptr : &it->second;
+  }
+  void forget(core::MachineId id) { machines_.erase(id); }
+  [[nodiscard]] std::map<core::MachineId, Machine>& all() { return machines_; }
+  [[nodiscard]] const std::map<core::MachineId, Machine>& all() const { return machines_; }
+
+  std::vector<cloud::Flavor> flavors;  // empty: not known yet
+  std::vector<core::TypeId> flavor_ids;
+  [[nodiscard]] const cloud::Flavor* flavor(core::TypeId t) const {
+    for (std::size_t i = 0; i < flavor_ids.size(); ++i)
+      if (flavor_ids[i] == t) return &flavors[i];
+    return nullptr;
+  }
+
+  std::set<Fact> facts;
+  std::set<Start> seen;             // starts that a report has shown on their machine
+  std::map<Start, double> to_stop;  // starts to be stopped, with the grace to save
+
+ private:
+  std::map<core::MachineId, Machine> machines_;
+};
+
+}  // namespace finchrun::worker
--- /dev/null
+++ b/src/worker/reports.cpp
@@ -0,0 +1,162 @@
+#include "worker/reports.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace finchrun::worker {
+namespace {
+
+using wire::Cause;
+using wire::Order;
+using wire::TaskState;
+
+void touch_image(Machine& m, const Fleet& fleet, core::ImageId image, double gb) {
+  auto at = std::find_if(m.images.begin(), m.images.end(), [&](const auto& i) { return i.first == image; });
+  if (at != m.images.end()) m.images.erase(at);
+  m.images.emplace_back(image, gb);
+  const auto* flavor = fleet.flavor(m.type);
+  if (!flavor) return;
+  double total = 0;
+  for (const auto& [_, size] : m.images) total += size;
+  while (m.images.size() > 1 && total > flavor->cache_gb) {
+    total -= m.images.front().second;
+    m.images.erase(m.images.begin());
+  }
+}
+
+void note_failure(ReportContext& ctx, Machine& m, core::JobId job) {
+  m.failed_jobs.insert(job);
+  // Several jobs failing on one machine point at the machine; one job failing on several points at the job.
+  if (m.failed_jobs.size() >= 2 && !m.sick) {
+    m.sick = true;
+    spdlog::warn("machine {} is sick: tasks of {} jobs failed on it", m.name, m.failed_jobs.size());
+  }
+  m.avoid_until = ctx.now + core::secs(20);
+  auto& t = ctx.trouble[job];
+  t.machines.insert(m.id);
+  ++t.failures;
+  if (t.machines.size() >= 2) {
+    const double pause = std::min(60.0, 2.0 * static_cast<double>(1 << std::min<std::size_t>(t.machines.size(), 6)));
+    t.retry_at = ctx.now + core::secs(pause);
+  }
+}
+
+}  // namespace
+
+bool gang_broken(const jobs::JobRecord& job, const jobs::RunRecord& run, const Fleet& fleet, core::JobId id,
+                 core::PartId part) {
+  if (!job.spec.gang) return false;
+  if (run.entries.size() != job.spec.tasks) return true;
+  for (const auto& e : run.entries) {
+    const Fact gone{id, part, e.task, e.attempt, false};
+    if (fleet.facts.contains(gone)) return true;
+  }
+  return false;
+}
+
+void machine_gone(const state::Mirror& mirror, Fleet& fleet, core::MachineId id) {
+  for (const auto& [key, run] : mirror.runs())
+    for (const auto& e : run.entries)
+      if (e.machine == id) fleet.facts.insert({key.first, key.second, e.task, e.attempt, false});
+}
+
+ReportResult take_report(ReportContext ctx, Machine& m, const wire::Report& r) {
+  ReportResult out;
+  if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) {
+    out.kind = ReportResult::Kind::outdated;
+    return out;
+  }
+  if (r.token > ctx.token) {
+    out.kind = ReportResult::Kind::deposed;
+    return out;
+  }
+  if (m.reported && r.session > m.session) m.images.clear();
+  m.reported = true;
+  m.session = r.session;
+  m.seq = r.seq;
+  m.token = r.token;
+  m.last_report = ctx.now;
+  m.endpoint = r.endpoint;
+  m.notice_s = r.notice_s;
+  // Only a report sent after the worker saw our token proves that no order of an earlier owner can still run.
+  const bool trusted = r.token == ctx.token;
+
+  std::vector<bool> known(r.pieces.size(), false);
+  bool busy = false;
+  for (const auto& [key, run] : ctx.mirror.runs()) {
+    if (key.second != m.part) continue;
+    const auto& [job_id, part] = key;
+    const auto* job = ctx.mirror.job(job_id);
+    for (const auto& e : run.entries) {
+      if (e.machine != m.id) continue;
+      busy = true;
+      const Start start{job_id, e.task, e.attempt};
+      const Fact gone{job_id, part, e.task, e.attempt, false};
+      if (e.session < r.session) {
+        out.changed |= ctx.fleet.facts.insert(gone).second;
+        continue;
+      }
+      const std::string& job_name = ctx.names.jobs.name(job_id);
+      const wire::Piece* piece = nullptr;
+      for (std::size_t i = 0; i < r.pieces.size(); ++i) {
+        const auto& p = r.pieces[i];
+        if (p.task == e.task && p.attempt == e.attempt && p.job == job_name) {
+          piece = &p;
+          known[i] = true;
+          break;
+        }
+      }
+      const bool live = job && job->status == jobs::Status::live;
+      if (live && piece && piece->state != TaskState::fetching && piece->cause != Cause::no_room)
+        touch_image(m, ctx.fleet, job->spec.image, job->spec.image_gb);
+      if (piece && piece->state == TaskState::ended) {
+        Fact fact = gone;
+        fact.done = piece->cause == Cause::done;
+        if (ctx.fleet.facts.insert(fact).second) {
+          out.changed = true;
+          spdlog::info("ended job={} task={} try={} machine={} cause={} saved={}", job_name, e.task, e.attempt,
+                       m.name, static_cast<int>(piece->cause), piece->saved);
+          if (piece->cause == Cause::error || piece->cause == Cause::unknown) note_failure(ctx, m, job_id);
+          if (piece->cause == Cause::no_room) m.avoid_until = ctx.now + core::secs(2);
+          if (piece->cause == Cause::done) m.failed_jobs.clear();
+        }
+        continue;
+      }
+      const auto stop = ctx.fleet.to_stop.find(start);
+      const bool unwanted = !live || stop != ctx.fleet.to_stop.end() ||
+                            gang_broken(*job, run, ctx.fleet, job_id, part) || run.done.contains(e.task);
+      if (!piece) {
+        if (trusted && (unwanted || ctx.fleet.seen.contains(start))) {
+          // Not there, and no order that would start it can be under way: answers to earlier reports are dead.
+          out.changed |= ctx.fleet.facts.insert(gone).second;
+        } else if (!unwanted && e.session == r.session) {
+          out.orders.push_back({Order::Kind::start, job_name, e.task, e.attempt, 0});
+        }
+        continue;
+      }
+      ctx.fleet.seen.insert(start);
+      if (!unwanted) continue;
+      const double grace = live && stop != ctx.fleet.to_stop.end() ? stop->second : 0;
+      if (piece->state == TaskState::saving && grace > 0) continue;
+      out.orders.push_back({Order::Kind::stop, job_name, e.task, e.attempt, grace});
+    }
+  }
+  m.strangers = 0;
+  for (std::size_t i = 0; i < r.pieces.size(); ++i) {
+    if (known[i]) continue;
+    const auto& p = r.pieces[i];
+    // No record knows it: it has ended and that is recorded, or an earlier owner's start was given up.
+    if (p.state == TaskState::ended) {
+      out.orders.push_back({Order::Kind::forget, p.job, p.task, p.attempt, 0});
+    } else {
+      ++m.strangers;
+      out.orders.push_back({Order::Kind::stop, p.job, p.task, p.attempt, 0});
+    }
+  }
+  if (busy || m.strangers > 0 || m.idle_since == core::TimePoint{}) m.idle_since = ctx.now;
+  if (out.orders.size() > wire::kMaxOrders) out.orders.resize(wire::kMaxOrders);
+  return out;
+}
+
+}  // namespace finchrun::worker
