--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -26,7 +26,8 @@
         busy += run.done.count(r.from, r.to);
         for (const auto& e : run.entries) busy += e.task >= r.from && e.task < r.to ? 1 : 0;
       });
-      waiting[r.part.v] += job.spec.need * static_cast<double>((r.to - r.from) - std::min(r.to - r.from, busy));
+      waiting[r.part.v] +=
+          job.spec.need * static_cast<double>((r.to - r.from) - std::min(r.to - r.from, busy));
     }
   }
   for (std::uint32_t p = 0; p < rooms.size(); ++p) {
@@ -99,7 +100,8 @@
       m.part = w.parts.part_of(item.name, m.zone).value_or(core::PartId{});
       m.spot = item.spot;
       if (!item.endpoint.empty()) m.endpoint = item.endpoint;
-      if (item.status == "starting" && m.status != "starting") m.starting_since = now - core::secs(item.held_s);
+      if (item.status == "starting" && m.status != "starting")
+        m.starting_since = now - core::secs(item.held_s);
       m.status = item.status;
     }
     // Machines that are no longer listed and that no record names are of no interest any more.
@@ -136,14 +138,18 @@
       const char* why = nullptr;
       if (m.listed && m.status == "failed") why = "failed";
       // Silent and not listed: it is gone, and the answer to the deletion makes that certain.
-      else if (in_use && !m.listed && silent > 3 * w.s.report_s + 2 && (m.ever_listed || silent > 3 * w.s.cloud_list_lag_s + 5))
+      else if (in_use && !m.listed && silent > 3 * w.s.report_s + 2 &&
+               (m.ever_listed || silent > 3 * w.s.cloud_list_lag_s + 5))
         why = "unlisted";
-      else if (m.listed && m.status == "running" && silent > w.s.lease_s + 15) why = "silent";
+      else if (m.listed && m.status == "running" && silent > w.s.lease_s + 15)
+        why = "silent";
       else if (m.listed && m.status == "starting" && flavor &&
                core::since(m.starting_since, now) > 5 * flavor->boot_s + 30)
         why = "never came up";
-      else if (m.sick && !in_use) why = "sick";
-      else if (m.reported && !in_use && core::since(m.idle_since, now) > w.t.idle_return_s) why = "idle";
+      else if (m.sick && !in_use)
+        why = "sick";
+      else if (m.reported && !in_use && core::since(m.idle_since, now) > w.t.idle_return_s)
+        why = "idle";
       if (!why) continue;
       m.releasing = true;
       returns.push_back({id, m.name, why});
@@ -230,13 +236,18 @@
         for (const bool spot : {false, true}) {
           if (spot && !d.spot) continue;
           const auto slot = flavor.name + "|" + zone_name + (spot ? "|spot" : "|own");
-          if (auto it = no_capacity_until_.find(slot); it != no_capacity_until_.end() && it->second > now) continue;
+          if (auto it = no_capacity_until_.find(slot); it != no_capacity_until_.end() && it->second > now)
+            continue;
           const double price = (spot ? flavor.spot_price : flavor.price) / std::min<double>(each, left);
           if (wish && price >= best) continue;
           best = price;
-          wish = Wish{flavor.name, zone_name, spot,
-                      std::min(w.t.hire_batch, static_cast<int>((left + static_cast<unsigned>(each) - 1) / static_cast<unsigned>(each))),
-                      "", slot};
+          wish = Wish{flavor.name,
+                      zone_name,
+                      spot,
+                      std::min(w.t.hire_batch, static_cast<int>((left + static_cast<unsigned>(each) - 1) /
+                                                                static_cast<unsigned>(each))),
+                      "",
+                      slot};
         }
       }
     }
@@ -263,7 +274,8 @@
         m.first_seen = m.starting_since = core::Steady::now();
       }
     });
-    if (answer.machines.size() < static_cast<std::size_t>(wish->count)) no_capacity_until_[wish->slot] = now + jitter(15);
+    if (answer.machines.size() < static_cast<std::size_t>(wish->count))
+      no_capacity_until_[wish->slot] = now + jitter(15);
   }
 }
 
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -22,24 +22,29 @@
 
 }  // namespace
 
-Controller::Controller(asio::io_context& io, const config::Settings& s, const config::Tuning& t)
+Controller::Controller(asio::io_context& io, http::Network& network, const config::Settings& s,
+                       const config::Tuning& t, std::uint32_t seed)
     : io_(io),
+      network_(network),
       settings_(s),
       tuning_(t),
-      store_(io.get_executor(), s),
-      cloud_(io.get_executor(), s),
+      store_(network, s),
+      cloud_(network, s),
       world_(s, t),
       sync_wake_(io),
       writer_wake_(io),
-      random_(std::random_device{}()) {}
+      random_(seed) {}
 
-void Controller::start() {
+void Controller::listen() {
   const int reserve = 60 + 2 * static_cast<int>(settings_.members.size());
   asio::co_spawn(io_,
                  http::serve(
                      settings_.listen, [this](http::Request r) { return handle(std::move(r)); },
                      std::max(16, settings_.max_sockets - reserve)),
                  ended);
+}
+
+void Controller::start() {
   asio::co_spawn(io_, member_loop(), ended);
   asio::co_spawn(io_, sync_loop(), ended);
   asio::co_spawn(io_, claim_loop(), ended);
@@ -54,7 +59,7 @@
 }
 
 asio::awaitable<void> Controller::sleep(double seconds) {
-  asio::steady_timer timer(io_, jitter(seconds));
+  core::Timer timer(io_, jitter(seconds));
   boost::system::error_code ec;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -1,9 +1,7 @@
 // Wires the parts together: one process, one io_context, a handful of coroutine loops over one world.
 #pragma once
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <memory>
 #include <random>
@@ -12,6 +10,7 @@
 #include "cloud/cloud.hpp"
 #include "core/locked.hpp"
 #include "http/server.hpp"
+#include "http/transport.hpp"
 #include "sched/deal.hpp"
 #include "sched/place.hpp"
 #include "state/store.hpp"
@@ -22,9 +21,12 @@
 
 class Controller {
  public:
-  Controller(asio::io_context& io, const config::Settings& s, const config::Tuning& t);
+  Controller(asio::io_context& io, http::Network& network, const config::Settings& s, const config::Tuning& t,
+             std::uint32_t seed);
   // Starts the loops; they run until the context ends.
   void start();
+  // Binds the address of users and workers.
+  void listen();
 
   // The users', workers' and health checks' interface.
   asio::awaitable<http::Response> handle(http::Request request);
@@ -43,7 +45,8 @@
   asio::awaitable<void> push_loop();
   asio::awaitable<void> push(core::MachineId machine);
 
-  // Own parts: records and rounds. One coroutine, so that the writes of this controller never race each other.
+  // Own parts: records and rounds. One coroutine, so that the writes of this controller never race each
+  // other.
   asio::awaitable<void> writer_loop();
   asio::awaitable<void> flush();
   asio::awaitable<void> round();
@@ -69,6 +72,7 @@
   [[nodiscard]] core::Steady::duration jitter(double seconds);
 
   asio::io_context& io_;
+  http::Network& network_;
   const config::Settings settings_;
   const config::Tuning tuning_;
   state::Store store_;
@@ -78,14 +82,14 @@
   struct Waiter {
     core::TimePoint arrived;
     bool served = false;
-    asio::steady_timer timer;
+    core::Timer timer;
   };
   std::list<std::shared_ptr<Waiter>> waiters_;
-  asio::steady_timer sync_wake_;
-  asio::steady_timer writer_wake_;
+  core::Timer sync_wake_;
+  core::Timer writer_wake_;
   core::TimePoint next_round_{};
   std::set<std::uint64_t> own_team_stamps_;  // of this round's own commits
-  std::vector<sched::Demand> backlog_;  // what the last round could not place
+  std::vector<sched::Demand> backlog_;       // what the last round could not place
   std::vector<core::PartId> backlog_part_;
   std::map<std::string, core::TimePoint> no_capacity_until_;
   std::uint64_t hire_count_ = 0;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "app/controller.hpp"
+#include "http/client.hpp"
 
 int main(int argc, char** argv) {
   using namespace finchrun;
@@ -42,7 +43,9 @@
   spdlog::set_level(spdlog::level::from_str(level ? level : "info"));
   try {
     boost::asio::io_context io{1};
-    app::Controller controller(io, settings, tuning);
+    http::TcpNetwork network(io.get_executor());
+    app::Controller controller(io, network, settings, tuning, std::random_device{}());
+    controller.listen();
     controller.start();
     spdlog::info("started label={} zone={} listen={}", settings.label, settings.zone, settings.listen.text());
     io.run();
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -118,7 +118,7 @@
       }
     }
     // Polls share reads: at most one read in each short interval, at least one in each long one.
-    asio::steady_timer least(io_, core::secs(0.06));
+    core::Timer least(io_, core::secs(0.06));
     co_await least.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     if (changes.kind != state::Changes::Kind::ok) {
       co_await sleep(0.2);
@@ -133,7 +133,7 @@
   // Bounded: a waiter more than this would not be answered in time either.
   constexpr std::size_t kMostWaiters = 2000;
   if (waiters_.size() >= kMostWaiters) co_return false;
-  auto waiter = std::make_shared<Waiter>(Waiter{core::Steady::now(), false, asio::steady_timer(io_, deadline)});
+  auto waiter = std::make_shared<Waiter>(Waiter{core::Steady::now(), false, core::Timer(io_, deadline)});
   waiters_.push_back(waiter);
   sync_wake_.cancel();
   boost::system::error_code ec;
@@ -263,16 +263,17 @@
   });
   const auto at = config::parse_endpoint(endpoint);
   if (!at) co_return;
-  http::Client client(io_.get_executor(), *at, 0);
-  // No orders: it only makes the worker see the token, so that orders of earlier owners are void and it reports.
-  auto answer = co_await client.call(http::Verb::post, "/do", wire::render_push(token, session, {}),
-                                     std::chrono::milliseconds(2000));
+  const auto client = network_.connect(*at, 0);
+  // No orders: it only makes the worker see the token, so that orders of earlier owners are void and it
+  // reports.
+  auto answer = co_await client->call(http::Verb::post, "/do", wire::render_push(token, session, {}),
+                                      std::chrono::milliseconds(2000));
   if (answer.status != 409) co_return;
   auto report = wire::parse_report(answer.body);
   const auto* r = std::get_if<wire::Report>(&report);
   if (!r || r->token > token || r->session == session) co_return;
-  co_await client.call(http::Verb::post, "/do", wire::render_push(token, r->session, {}),
-                       std::chrono::milliseconds(2000));
+  co_await client->call(http::Verb::post, "/do", wire::render_push(token, r->session, {}),
+                        std::chrono::milliseconds(2000));
 }
 
 asio::awaitable<void> Controller::push_loop() {
--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -15,7 +15,8 @@
 
 // Checks what needs the deployment's names. Nothing if it can run; else why it never can.
 std::optional<std::string> never_runs(const World& w, const wire::Submission& s, const jobs::JobSpec& spec) {
-  const auto team = std::find_if(w.s.teams.begin(), w.s.teams.end(), [&](const auto& t) { return t.name == s.team; });
+  const auto team =
+      std::find_if(w.s.teams.begin(), w.s.teams.end(), [&](const auto& t) { return t.name == s.team; });
   if (team == w.s.teams.end()) return "unknown team";
   const bool fits = std::any_of(w.fleet.flavors.begin(), w.fleet.flavors.end(), [&](const cloud::Flavor& f) {
     if (s.types && std::find(s.types->begin(), s.types->end(), f.name) == s.types->end()) return false;
@@ -26,7 +27,8 @@
   const double n = spec.gang ? spec.tasks : 1;
   const sched::TeamRoom empty{{}, team->cpus_max, team->gpus_max};
   if (!empty.allows(spec.need * n)) return "the job needs more than its team's limit";
-  if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1) return "together and scatter exclude each other";
+  if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1)
+    return "together and scatter exclude each other";
   return std::nullopt;
 }
 
@@ -75,7 +77,8 @@
     const auto& name = w.names.jobs.name(id);
     const auto* job = w.mirror.job(id);
     if (!job) return error(404, "no such job");
-    if (job->status == jobs::Status::cancelled) return http::Response{200, wire::render_status(name, "cancelled")};
+    if (job->status == jobs::Status::cancelled)
+      return http::Response{200, wire::render_status(name, "cancelled")};
     if (job->status == jobs::Status::done)
       return http::Response{200, wire::render_status(name, "done", job->spec.tasks, 0)};
     const auto running = w.mirror.placed(id);
@@ -93,7 +96,8 @@
     return job && job->status != jobs::Status::live ? known : std::nullopt;
   });
   if (final_id) co_return status_of(*final_id);
-  if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200))) co_return later("state unknown");
+  if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
+    co_return later("state unknown");
   const auto known = world_.with([&](World& w) { return w.names.jobs.find(id); });
   if (!known) co_return error(404, "no such job");
   co_return status_of(*known);
@@ -132,10 +136,12 @@
     txn.then.push_back({state::keys::job(s.id), jobs::to_json(record, w.names)});
     return Next::go;
   });
-  // 422 and 400 are final to the user, so they are only given when this node is sure that the job is not known.
+  // 422 and 400 are final to the user, so they are only given when this node is sure that the job is not
+  // known.
   if (next == Next::undecided) co_return later("not ready to decide");
   if (next == Next::never) {
-    if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200))) co_return later("state unknown");
+    if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
+      co_return later("state unknown");
     const bool known = world_.with([&](World& w) {
       const auto id = w.names.jobs.find(s.id);
       return id && w.mirror.job(*id);
@@ -154,7 +160,8 @@
       co_return co_await query(s.id);
     case Outcome::unknown: {
       // It might be applied: what the record says after it decides.
-      if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1000))) co_return later("state unknown");
+      if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1000)))
+        co_return later("state unknown");
       const bool known = world_.with([&](World& w) {
         const auto id = w.names.jobs.find(s.id);
         return id && w.mirror.job(*id);
@@ -231,7 +238,8 @@
     m.part = *part;
     m.spot = r.spot;
     auto result = worker::take_report({w.names, w.mirror, w.fleet, w.trouble, w.token(*part), now}, m, r);
-    if (result.kind == worker::ReportResult::Kind::deposed) return http::Response{421, wire::render_moved(std::nullopt)};
+    if (result.kind == worker::ReportResult::Kind::deposed)
+      return http::Response{421, wire::render_moved(std::nullopt)};
     if (result.kind == worker::ReportResult::Kind::outdated) return later("outdated");
     changed = result.changed;
     return http::Response{200, wire::render_orders(w.token(*part), result.orders)};
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -17,10 +17,12 @@
       names(names_for(settings)),
       parts(settings, tuning, names),
       mirror(names, parts.size(), settings.teams.size()),
-      usage(parts.size(), ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
+      usage(parts.size(),
+            ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
       usage_from(parts.size(), 0),
       owner_missing_since(parts.size()) {
-  for (const auto& team : s.teams) shares.push_back(team.gpus > 0 ? team.gpus : team.cpus > 0 ? team.cpus : 1.0);
+  for (const auto& team : s.teams)
+    shares.push_back(team.gpus > 0 ? team.gpus : team.cpus > 0 ? team.cpus : 1.0);
 }
 
 core::Resources World::used_on(core::MachineId id) const {
@@ -44,8 +46,8 @@
 }
 
 bool World::usable(const worker::Machine& m, core::TimePoint now) const {
-  return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing && m.strangers == 0 &&
-         core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
+  return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing &&
+         m.strangers == 0 && core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
 }
 
 }  // namespace finchrun::app
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -31,8 +31,8 @@
   std::uint64_t incarnation = 0;  // of this process; 0: not a member yet
   std::uint64_t hold = 0;
   std::uint64_t joined_epoch = 0;  // of the write of our member key
-  bool loaded = false;            // the mirror has been filled once
-  core::TimePoint synced_at{};    // when the newest answered read of the changes was sent
+  bool loaded = false;             // the mirror has been filled once
+  core::TimePoint synced_at{};     // when the newest answered read of the changes was sent
   std::vector<core::TimePoint> owner_missing_since;
 
   // This process holds the newest claim that the mirror knows.
@@ -41,10 +41,12 @@
     return loaded && incarnation != 0 && c.owner == s.label && c.incarnation == incarnation;
   }
   // Owns it, and has read everything that earlier owners recorded.
-  [[nodiscard]] bool acting(core::PartId p) const { return owns(p) && mirror.epoch() >= mirror.claim(p).stamp; }
+  [[nodiscard]] bool acting(core::PartId p) const {
+    return owns(p) && mirror.epoch() >= mirror.claim(p).stamp;
+  }
   [[nodiscard]] std::uint64_t token(core::PartId p) const { return mirror.claim(p).stamp; }
-  // An owner without news from the state service may be renewing tasks that were cancelled elsewhere: a worker it
-  // answers last now keeps them for another lease, and cancel_s must hold.
+  // An owner without news from the state service may be renewing tasks that were cancelled elsewhere: a
+  // worker it answers last now keeps them for another lease, and cancel_s must hold.
   [[nodiscard]] bool news_fresh(core::TimePoint now) const {
     return core::since(synced_at, now) < std::max(1.0, s.cancel_s - s.lease_s * 1.01 - 3.0);
   }
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -30,7 +30,8 @@
     constexpr std::size_t kMostBytes = 40 * 1024;
     auto when = txn.when;
     for (const auto& c : e.when)
-      if (std::none_of(when.begin(), when.end(), [&](const auto& o) { return o.key == c.key; })) when.push_back(c);
+      if (std::none_of(when.begin(), when.end(), [&](const auto& o) { return o.key == c.key; }))
+        when.push_back(c);
     auto then = txn.then;
     std::size_t more = 0;
     for (const auto& c : e.then) {
@@ -38,7 +39,8 @@
       then.push_back(c);
       more += c.key.size() + 40 + (c.value ? json::serialize(*c.value).size() : 0);
     }
-    if (!edits.empty() && (then.size() > ops || when.size() > 4 * ops || bytes + more > kMostBytes)) return false;
+    if (!edits.empty() && (then.size() > ops || when.size() > 4 * ops || bytes + more > kMostBytes))
+      return false;
     txn.when = std::move(when);
     txn.then = std::move(then);
     bytes += more;
@@ -59,7 +61,8 @@
 }
 
 state::Change set_run(const World& w, state::RunKey key, const jobs::RunRecord& run) {
-  return {state::keys::run(w.names.jobs.name(key.first), w.names.parts.name(key.second)), jobs::to_json(run, w.names)};
+  return {state::keys::run(w.names.jobs.name(key.first), w.names.parts.name(key.second)),
+          jobs::to_json(run, w.names)};
 }
 
 jobs::JobRecord finished(const jobs::JobRecord& job) {
@@ -75,7 +78,8 @@
   jobs::RunRecord next = run;
   const auto* job = w.mirror.job(key.first);
   for (const auto& f : facts) {
-    std::erase_if(next.entries, [&](const jobs::Entry& e) { return e.task == f.task && e.attempt == f.attempt; });
+    std::erase_if(next.entries,
+                  [&](const jobs::Entry& e) { return e.task == f.task && e.attempt == f.attempt; });
     if (!f.done) continue;
     if (job && job->spec.gang) {
       next.done.add(0, job->spec.tasks);  // a gang completes together
@@ -114,9 +118,10 @@
     std::map<state::RunKey, std::vector<worker::Fact>> by_run;
     for (auto it = w.fleet.facts.begin(); it != w.fleet.facts.end();) {
       const auto* run = w.mirror.run({it->job, it->part});
-      const bool current = run && std::any_of(run->entries.begin(), run->entries.end(), [&](const jobs::Entry& e) {
-                             return e.task == it->task && e.attempt == it->attempt;
-                           });
+      const bool current =
+          run && std::any_of(run->entries.begin(), run->entries.end(), [&](const jobs::Entry& e) {
+            return e.task == it->task && e.attempt == it->attempt;
+          });
       if (!current || !w.owns(it->part)) {
         w.fleet.seen.erase({it->job, it->task, it->attempt});
         w.fleet.to_stop.erase({it->job, it->task, it->attempt});
@@ -201,7 +206,8 @@
     const auto used = w.used_by_team();
     for (std::size_t i = 0; i < teams.size(); ++i)
       teams[i] = {used[i], w.s.teams[i].cpus_max, w.s.teams[i].gpus_max};
-    for (std::uint32_t i = 0; i < teams.size(); ++i) team_stamps.push_back(w.mirror.team_stamp(core::TeamId{i}));
+    for (std::uint32_t i = 0; i < teams.size(); ++i)
+      team_stamps.push_back(w.mirror.team_stamp(core::TeamId{i}));
 
     for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
       const core::PartId part{p};
@@ -253,7 +259,8 @@
       }
     }
 
-    constexpr std::size_t kMostTasks = 200;  // of one job in one round: bounds a record's size and the work here
+    constexpr std::size_t kMostTasks =
+        200;  // of one job in one round: bounds a record's size and the work here
     for (const auto id : w.mirror.live()) {
       const auto& job = *w.mirror.job(id);
       if (auto t = w.trouble.find(id); t != w.trouble.end() && t->second.retry_at > now) continue;
@@ -326,7 +333,8 @@
     co_return;
   }
 
-  const auto costs = sched::rank(queue, shares, usage, {tuning_.image_factor, tuning_.size_factor, tuning_.usage_factor});
+  const auto costs =
+      sched::rank(queue, shares, usage, {tuning_.image_factor, tuning_.size_factor, tuning_.usage_factor});
   std::vector<Edit> edits;
   std::vector<sched::Demand> left;
   std::vector<core::PartId> left_part;
@@ -357,8 +365,8 @@
         for (const auto* pl : placed) {
           const auto* m = w.fleet.find(pl->machine);
           next.entries.push_back({pl->task, attempt, pl->machine, m->session});
-          spdlog::info("place job={} task={} try={} machine={} part={} term={} weight={:.3f}", job_name, pl->task,
-                       attempt, m->name, part_name, w.token(part), costs[i].weight);
+          spdlog::info("place job={} task={} try={} machine={} part={} term={} weight={:.3f}", job_name,
+                       pl->task, attempt, m->name, part_name, w.token(part), costs[i].weight);
         }
         const auto& team = w.names.teams.name(d.team);
         Edit e;
@@ -393,7 +401,8 @@
   for (auto& batch : pack(edits, static_cast<std::size_t>(settings_.state_txn_ops))) {
     if (!store_.spend(static_cast<int>(batch.txn.then.size()))) break;
     auto txn = batch.txn;
-    // The team's counter moved with an earlier batch of this round: that one was ours, so its new stamp holds.
+    // The team's counter moved with an earlier batch of this round: that one was ours, so its new stamp
+    // holds.
     world_.with([&](World& w) {
       for (auto& c : txn.when)
         if (c.key.starts_with("teams/"))
@@ -437,11 +446,13 @@
       std::optional<sched::PartRoom> best;
       for (const auto& p : part_rooms(w, job->spec, now)) {
         const double spare = p.free - p.backlog;
-        if (p.part == part || !p.allowed || spare < (whole ? static_cast<double>(d.tasks.size()) : 1)) continue;
+        if (p.part == part || !p.allowed || spare < (whole ? static_cast<double>(d.tasks.size()) : 1))
+          continue;
         if (!best || spare > best->free - best->backlog) best = p;
       }
       if (!best) continue;
-      auto count = static_cast<std::size_t>(std::min(best->free - best->backlog, static_cast<double>(d.tasks.size())));
+      auto count =
+          static_cast<std::size_t>(std::min(best->free - best->backlog, static_cast<double>(d.tasks.size())));
       jobs::JobRecord next = *job;
       if (whole) {
         next.ranges = {{0, job->spec.tasks, best->part}};
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -22,8 +22,8 @@
 // Kept out of the coroutines: GCC 12 can't hold initializer lists in a coroutine's frame.
 std::string hire_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
                       int count) {
-  return json::serialize(json::object{
-      {"hire", request}, {"rack", type}, {"hall", zone}, {"loaners", spot}, {"howMany", count}});
+  return json::serialize(
+      json::object{{"hire", request}, {"rack", type}, {"hall", zone}, {"loaners", spot}, {"howMany", count}});
 }
 std::string release_body(const std::vector<std::string>& names) {
   json::array list;
@@ -34,13 +34,13 @@
 
 }  // namespace
 
-Cloud::Cloud(asio::any_io_executor executor, const config::Settings& s)
-    : client_(executor, s.cloud, 2),
+Cloud::Cloud(http::Network& network, const config::Settings& s)
+    : client_(network.connect(s.cloud, 2)),
       budget_(s.cloud_rps / s.nodes, std::max(2.0, 2 * s.cloud_rps / s.nodes), core::Steady::now()) {}
 
 asio::awaitable<http::Answer> Cloud::call(http::Verb verb, std::string target, std::string body) {
   if (!budget_.take(1, 0, core::Steady::now())) co_return http::Answer{429, {}};
-  co_return co_await client_.call(verb, std::move(target), std::move(body), 5000ms);
+  co_return co_await client_->call(verb, std::move(target), std::move(body), 5000ms);
 }
 
 asio::awaitable<std::optional<std::vector<Flavor>>> Cloud::flavors() {
@@ -85,7 +85,8 @@
         const auto& o = item.as_object();
         Listed m;
         m.name = text(o, "nameId");
-        if (const auto* ep = o.if_contains("endpoint"); ep && ep->is_string()) m.endpoint = text(o, "endpoint");
+        if (const auto* ep = o.if_contains("endpoint"); ep && ep->is_string())
+          m.endpoint = text(o, "endpoint");
         m.type = text(o, "rack");
         m.zone = text(o, "hall");
         m.spot = o.at("loaners").as_bool();
@@ -104,8 +105,10 @@
   co_return out;
 }
 
-asio::awaitable<Hired> Cloud::hire(std::string request, std::string type, std::string zone, bool spot, int count) {
-  http::Answer answer = co_await call(http::Verb::post, "/hosts", hire_body(request, type, zone, spot, count));
+asio::awaitable<Hired> Cloud::hire(std::string request, std::string type, std::string zone, bool spot,
+                                   int count) {
+  http::Answer answer =
+      co_await call(http::Verb::post, "/hosts", hire_body(request, type, zone, spot, count));
   Hired out;
   if (answer.status == 503 && answer.body.find("no capacity") != std::string::npos) {
     out.kind = Hired::Kind::no_capacity;
--- a/src/cloud/cloud.hpp
+++ b/src/cloud/cloud.hpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/resources.hpp"
-#include "http/client.hpp"
+#include "http/transport.hpp"
 #include "state/budget.hpp"
 
 namespace finchrun::cloud {
@@ -34,7 +34,7 @@
 
 class Cloud {
  public:
-  Cloud(asio::any_io_executor executor, const config::Settings& s);
+  Cloud(http::Network& network, const config::Settings& s);
   asio::awaitable<std::optional<std::vector<Flavor>>> flavors();
   // The whole list, page by page; nothing if any page failed.
   asio::awaitable<std::optional<std::vector<Listed>>> machines();
@@ -44,7 +44,7 @@
 
  private:
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body);
-  http::Client client_;
+  std::unique_ptr<http::Transport> client_;
   state::Budget budget_;
 };
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -94,7 +94,8 @@
   s.cloud = need_endpoint(ends, "cloud", "endpoints.");
   s.state = need_endpoint(ends, "state", "endpoints.");
   View d = root["deployment"];
-  s.nodes = static_cast<int>(number(d, "nodes", "deployment.", static_cast<double>(s.members.size() + 1), 1, 99));
+  s.nodes =
+      static_cast<int>(number(d, "nodes", "deployment.", static_cast<double>(s.members.size() + 1), 1, 99));
   if (auto* zones = d["zones"].as_array()) {
     for (const auto& z : *zones) {
       auto name = z.value_exact<std::string>();
@@ -102,7 +103,8 @@
       s.zones.push_back(*name);
     }
   }
-  if (s.zones.empty()) throw SettingsError("deployment.zones", shown(d["zones"]), "a list of zones is needed");
+  if (s.zones.empty())
+    throw SettingsError("deployment.zones", shown(d["zones"]), "a list of zones is needed");
   s.clock_error_s = number(d, "clock_error_ms", "deployment.", 0, 0, 1e6) / 1000;
   if (auto* teams = d["teams"].as_array()) {
     for (const auto& node : *teams) {
@@ -117,7 +119,8 @@
       s.teams.push_back(team);
     }
   }
-  if (s.teams.empty()) throw SettingsError("deployment.teams", shown(d["teams"]), "a list of teams is needed");
+  if (s.teams.empty())
+    throw SettingsError("deployment.teams", shown(d["teams"]), "a list of teams is needed");
   if (auto* objectives = d["objectives"].as_array()) {
     for (const auto& node : *objectives) {
       View o(&node);
@@ -166,7 +169,8 @@
   const double sum = t.image_factor + t.size_factor + t.usage_factor;
   need(std::abs(sum - 1) < 1e-6, "rank.image_factor+size_factor+usage_factor", sum, "must sum to 1");
   need(t.round_s >= 0.1 && t.round_s <= 60, "round_s", t.round_s, "must be 0.1 to 60");
-  need(t.parts_per_zone >= 0 && t.parts_per_zone <= 64, "parts.per_zone", t.parts_per_zone, "must be 0 to 64");
+  need(t.parts_per_zone >= 0 && t.parts_per_zone <= 64, "parts.per_zone", t.parts_per_zone,
+       "must be 0 to 64");
   need(t.member_ttl_s >= 0.5 && t.member_ttl_s <= 600, "member.ttl_s", t.member_ttl_s, "must be 0.5 to 600");
   need(t.flush_s >= 0.02 && t.flush_s <= 2, "state.flush_s", t.flush_s, "must be 0.02 to 2");
   need(t.sync_s >= 0.05 && t.sync_s <= 2, "state.sync_s", t.sync_s, "must be 0.05 to 2");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -67,17 +67,17 @@
 
 // The operators' own settings. Defaults marked (paper) are the design's starting values.
 struct Tuning {
-  double window_s = 30;      // (paper) usage window
-  int windows = 12;          // (paper) windows kept
-  double decay = 0.8;        // (paper) decay per window
-  double image_factor = 0.3; // (paper) the three factors sum to 1
+  double window_s = 30;       // (paper) usage window
+  int windows = 12;           // (paper) windows kept
+  double decay = 0.8;         // (paper) decay per window
+  double image_factor = 0.3;  // (paper) the three factors sum to 1
   double size_factor = 0.1;
   double usage_factor = 0.6;
-  double round_s = 2;        // (paper) placing round
-  int parts_per_zone = 0;    // 0: controllers over zones, at least 1
-  double member_ttl_s = 3;   // hold on a controller's membership
-  double flush_s = 0.25;     // batching of records into writes
-  double sync_s = 0.25;      // longest wait between reads of the store's changes
+  double round_s = 2;          // (paper) placing round
+  int parts_per_zone = 0;      // 0: controllers over zones, at least 1
+  double member_ttl_s = 3;     // hold on a controller's membership
+  double flush_s = 0.25;       // batching of records into writes
+  double sync_s = 0.25;        // longest wait between reads of the store's changes
   double idle_return_s = 600;  // a hired machine idle for this long is returned
   int hire_batch = 4;          // most machines asked for in one rental request
 };
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -1,16 +1,42 @@
 // Times: a steady clock for everything that is decided, the time of day only for what users and records show.
+// Tests put a simulated clock in its place, so that no test sleeps on real time.
 #pragma once
 
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <chrono>
+#include <optional>
 
 namespace finchrun::core {
 
-using Steady = std::chrono::steady_clock;
+struct Steady {
+  using duration = std::chrono::steady_clock::duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Steady>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+  // Tests only: from now on the clock shows this, and moves only when told to.
+  static void simulate(std::optional<time_point> now) noexcept;
+  static bool simulated() noexcept;
+};
+
 using TimePoint = Steady::time_point;
 using Seconds = std::chrono::duration<double>;
 
 inline Steady::duration secs(double s) { return std::chrono::duration_cast<Steady::duration>(Seconds(s)); }
 inline double since(TimePoint from, TimePoint to) { return Seconds(to - from).count(); }
-inline double wall_s() { return Seconds(std::chrono::system_clock::now().time_since_epoch()).count(); }
+// Seconds since 1970.
+double wall_s();
+
+struct WaitTraits {
+  static Steady::duration to_wait_duration(const Steady::duration& d) {
+    return Steady::simulated() ? Steady::duration::zero() : d;
+  }
+  static Steady::duration to_wait_duration(const TimePoint& t) {
+    return Steady::simulated() ? Steady::duration::zero() : t - Steady::now();
+  }
+};
+using Timer = boost::asio::basic_waitable_timer<Steady, WaitTraits>;
 
 }  // namespace finchrun::core
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -1,4 +1,5 @@
-// Strong ids: names from the outside are mapped to dense indices at the door, and everything within works on those.
+// Strong ids: names from the outside are mapped to dense indices at the door, and everything within works on
+// those.
 #pragma once
 
 #include <compare>
@@ -58,5 +59,7 @@
 
 template <class Tag>
 struct std::hash<finchrun::core::Id<Tag>> {
-  std::size_t operator()(finchrun::core::Id<Tag> id) const noexcept { return std::hash<std::uint32_t>{}(id.v); }
+  std::size_t operator()(finchrun::core::Id<Tag> id) const noexcept {
+    return std::hash<std::uint32_t>{}(id.v);
+  }
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,6 +8,7 @@
 
 namespace finchrun::http {
 
+namespace beast = boost::beast;
 namespace bhttp = beast::http;
 
 Client::Client(asio::any_io_executor executor, config::Endpoint endpoint, std::size_t keep)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -32,7 +32,8 @@
   return out;
 }
 
-asio::awaitable<void> session(tcp::socket socket, std::shared_ptr<Handler> handler, std::shared_ptr<int> open) {
+asio::awaitable<void> session(tcp::socket socket, std::shared_ptr<Handler> handler,
+                              std::shared_ptr<int> open) {
   struct Count {
     std::shared_ptr<int> n;
     ~Count() { --*n; }
@@ -54,7 +55,8 @@
       co_await bhttp::async_write(stream, reply, on_error);
       co_return;
     }
-    if (ec && ec != bhttp::error::end_of_stream && ec.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
+    if (ec && ec != bhttp::error::end_of_stream &&
+        ec.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
       auto reply = render({400, R"({"error":"malformed request"})"}, 11, false);
       stream.expires_after(std::chrono::seconds(5));
       co_await bhttp::async_write(stream, reply, on_error);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -102,7 +102,8 @@
     const auto& a = item.as_array();
     auto part = names.parts.find(a.at(2).as_string());
     if (!part) throw std::runtime_error("range of an unknown part");
-    r.ranges.push_back({static_cast<std::uint32_t>(whole(a.at(0))), static_cast<std::uint32_t>(whole(a.at(1))), *part});
+    r.ranges.push_back(
+        {static_cast<std::uint32_t>(whole(a.at(0))), static_cast<std::uint32_t>(whole(a.at(1))), *part});
   }
   return r;
 }
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -73,7 +73,8 @@
   std::uint64_t stamp = 0;
 };
 
-// A task that may be on a machine: recorded before its start order leaves, removed only once it is certainly gone.
+// A task that may be on a machine: recorded before its start order leaves, removed only once it is certainly
+// gone.
 struct Entry {
   std::uint32_t task = 0;
   std::uint64_t attempt = 0;
--- a/src/membership/parts.hpp
+++ b/src/membership/parts.hpp
@@ -27,7 +27,8 @@
 
 class PartMap {
  public:
-  PartMap(const config::Settings& s, const config::Tuning& t, jobs::Names& names) : per_zone_(parts_per_zone(s, t)) {
+  PartMap(const config::Settings& s, const config::Tuning& t, jobs::Names& names)
+      : per_zone_(parts_per_zone(s, t)) {
     auto zones = s.zones;
     std::sort(zones.begin(), zones.end());
     for (const auto& z : zones) {
@@ -42,7 +43,8 @@
     for (const auto& m : s.members) labels_.push_back({m.label, m.zone});
     std::sort(labels_.begin(), labels_.end());
     for (std::size_t p = 0; p < zone_of_.size(); ++p)
-      preference_.push_back(order_for(names.zones.name(zone_of_[p]), p % static_cast<std::size_t>(per_zone_)));
+      preference_.push_back(
+          order_for(names.zones.name(zone_of_[p]), p % static_cast<std::size_t>(per_zone_)));
   }
 
   [[nodiscard]] std::size_t size() const { return zone_of_.size(); }
@@ -51,19 +53,23 @@
   [[nodiscard]] std::optional<core::PartId> part_of(std::string_view machine, core::ZoneId zone) const {
     for (std::size_t p = 0; p < zone_of_.size(); ++p) {
       if (zone_of_[p] == zone)
-        return core::PartId{static_cast<std::uint32_t>(p + stable_hash(machine) % static_cast<std::size_t>(per_zone_))};
+        return core::PartId{
+            static_cast<std::uint32_t>(p + stable_hash(machine) % static_cast<std::size_t>(per_zone_))};
     }
     return std::nullopt;
   }
   // Labels in the order in which they should own the part: those in its zone first.
-  [[nodiscard]] const std::vector<std::string>& preference(core::PartId p) const { return preference_.at(p.v); }
+  [[nodiscard]] const std::vector<std::string>& preference(core::PartId p) const {
+    return preference_.at(p.v);
+  }
 
  private:
   std::vector<std::string> order_for(const std::string& zone, std::size_t turn) const {
     std::vector<std::string> inside, outside;
     for (const auto& [label, z] : labels_) (z == zone ? inside : outside).push_back(label);
     auto turned = [&](std::vector<std::string>& v) {
-      if (!v.empty()) std::rotate(v.begin(), v.begin() + static_cast<std::ptrdiff_t>(turn % v.size()), v.end());
+      if (!v.empty())
+        std::rotate(v.begin(), v.begin() + static_cast<std::ptrdiff_t>(turn % v.size()), v.end());
     };
     turned(inside);
     turned(outside);
--- a/src/sched/deal.hpp
+++ b/src/sched/deal.hpp
@@ -11,10 +11,10 @@
 struct PartRoom {
   core::PartId part;
   core::ZoneId zone;
-  bool allowed = true;   // the job's zone and machine types can be met here
-  double free = 0;       // how many of the job's tasks fit now
-  double backlog = 0;    // how many of them the tasks already waiting there would take
-  double capacity = 0;   // how many of them fit when the part is empty
+  bool allowed = true;  // the job's zone and machine types can be met here
+  double free = 0;      // how many of the job's tasks fit now
+  double backlog = 0;   // how many of them the tasks already waiting there would take
+  double capacity = 0;  // how many of them fit when the part is empty
   bool has_image = false;
 };
 
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -34,9 +34,9 @@
   bool spot = false;
   std::optional<std::vector<core::TypeId>> types;
   std::optional<core::ZoneId> zone;
-  std::uint32_t count = 0;             // waiting tasks in all
-  std::vector<std::uint32_t> tasks;    // the first of them; for a gang all
-  std::uint32_t room_in_zone = 0;      // how many more tasks this zone may take (`spread`)
+  std::uint32_t count = 0;           // waiting tasks in all
+  std::vector<std::uint32_t> tasks;  // the first of them; for a gang all
+  std::uint32_t room_in_zone = 0;    // how many more tasks this zone may take (`spread`)
   double waited_s = 0;
 };
 
--- a/src/state/budget.hpp
+++ b/src/state/budget.hpp
@@ -10,7 +10,8 @@
 
 class Budget {
  public:
-  Budget(double per_s, double burst, core::TimePoint now) : rate_(per_s), burst_(burst), level_(burst), at_(now) {}
+  Budget(double per_s, double burst, core::TimePoint now)
+      : rate_(per_s), burst_(burst), level_(burst), at_(now) {}
 
   // Takes n tokens if, after it, at least `reserve` of the burst would be left.
   bool take(double n, double reserve, core::TimePoint now) {
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -135,7 +135,8 @@
 
 std::uint32_t Mirror::placed(core::JobId id) const {
   std::uint32_t n = 0;
-  each_run(id, [&](core::PartId, const jobs::RunRecord& r) { n += static_cast<std::uint32_t>(r.entries.size()); });
+  each_run(
+      id, [&](core::PartId, const jobs::RunRecord& r) { n += static_cast<std::uint32_t>(r.entries.size()); });
   return n;
 }
 
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -65,17 +65,19 @@
 
 }  // namespace
 
-Store::Store(asio::any_io_executor executor, const config::Settings& s)
-    : client_(executor, s.state, 6),
-      renewals_(executor, s.state, 1),
+Store::Store(http::Network& network, const config::Settings& s)
+    : client_(network.connect(s.state, 6)),
+      renewals_(network.connect(s.state, 1)),
       requests_(part_of(s.state_rps, s.nodes), part_of(s.state_rps, s.nodes) * 0.7, core::Steady::now()),
-      writes_(part_of(s.state_write_rps, s.nodes), part_of(s.state_write_rps, s.nodes), core::Steady::now()) {}
+      writes_(part_of(s.state_write_rps, s.nodes), part_of(s.state_write_rps, s.nodes), core::Steady::now()) {
+}
 
 bool Store::spend(int writes) { return writes_.take(writes, 0, core::Steady::now()); }
 
-asio::awaitable<http::Answer> Store::call(http::Verb verb, std::string target, std::string body, double reserve) {
+asio::awaitable<http::Answer> Store::call(http::Verb verb, std::string target, std::string body,
+                                          double reserve) {
   if (!requests_.take(1, reserve, core::Steady::now())) co_return http::Answer{429, {}};
-  http::Answer answer = co_await client_.call(verb, std::move(target), std::move(body), kLimit);
+  http::Answer answer = co_await client_->call(verb, std::move(target), std::move(body), kLimit);
   if (answer.status == 429) requests_.refused(core::Steady::now());
   co_return answer;
 }
@@ -100,7 +102,8 @@
       co_return out;
     }
     case 400:
-      out.outcome = answer.body.find("no such lease") != std::string::npos ? Outcome::no_hold : Outcome::malformed;
+      out.outcome =
+          answer.body.find("no such lease") != std::string::npos ? Outcome::no_hold : Outcome::malformed;
       if (out.outcome == Outcome::malformed) spdlog::error("state: commit malformed: {}", answer.body);
       co_return out;
     case 429:
@@ -113,8 +116,8 @@
 }
 
 asio::awaitable<Changes> Store::changes(std::uint64_t from) {
-  http::Answer answer = co_await call(http::Verb::get, "/follow?under=&from=" + std::to_string(from) + "&blockMs=0",
-                                      {}, 0.1);
+  http::Answer answer =
+      co_await call(http::Verb::get, "/follow?under=&from=" + std::to_string(from) + "&blockMs=0", {}, 0.1);
   Changes out;
   if (answer.status == 410) out.kind = Changes::Kind::too_old;
   if (answer.status != 200) co_return out;
@@ -160,8 +163,7 @@
 
 asio::awaitable<std::optional<std::uint64_t>> Store::grant(int ttl_ms) {
   requests_.take(1, -10, core::Steady::now());
-  http::Answer answer =
-      co_await renewals_.call(http::Verb::post, "/grants", grant_body(ttl_ms), kLimit);
+  http::Answer answer = co_await renewals_->call(http::Verb::post, "/grants", grant_body(ttl_ms), kLimit);
   if (answer.status != 200) co_return std::nullopt;
   auto v = parse(answer.body);
   if (!v || !v->as_object().contains("hold")) co_return std::nullopt;
@@ -175,7 +177,7 @@
 asio::awaitable<int> Store::extend(std::uint64_t hold) {
   requests_.take(1, -10, core::Steady::now());
   http::Answer answer =
-      co_await renewals_.call(http::Verb::post, "/grants/" + std::to_string(hold) + "/extend", {}, kLimit);
+      co_await renewals_->call(http::Verb::post, "/grants/" + std::to_string(hold) + "/extend", {}, kLimit);
   co_return answer.status;
 }
 
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "http/client.hpp"
+#include "http/transport.hpp"
 #include "state/budget.hpp"
 
 namespace finchrun::state {
@@ -62,7 +62,7 @@
 
 class Store {
  public:
-  Store(asio::any_io_executor executor, const config::Settings& s);
+  Store(http::Network& network, const config::Settings& s);
 
   asio::awaitable<Committed> commit(Txn txn);
   // Every change after `from`; the answer is at least as new as the moment of the call.
@@ -77,8 +77,8 @@
  private:
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body, double reserve);
 
-  http::Client client_;
-  http::Client renewals_;  // own connection: a renewal never waits behind a large answer
+  std::unique_ptr<http::Transport> client_;
+  std::unique_ptr<http::Transport> renewals_;  // own connection: a renewal never waits behind a large answer
   Budget requests_;
   Budget writes_;
 };
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -187,7 +187,9 @@
   return guarded<Submission>(body, read_submission);
 }
 
-std::variant<Report, Malformed> parse_report(const std::string& body) { return guarded<Report>(body, read_report); }
+std::variant<Report, Malformed> parse_report(const std::string& body) {
+  return guarded<Report>(body, read_report);
+}
 
 std::string render_orders(std::uint64_t token, const std::vector<Order>& orders) {
   return json::serialize(json::object{{"baton", token}, {"orders", orders_json(orders)}});
@@ -207,8 +209,10 @@
   return json::serialize(json::object{{"nameId", id}, {"status", status}});
 }
 
-std::string render_status(const std::string& id, const char* status, std::uint32_t done, std::uint32_t running) {
-  return json::serialize(json::object{{"nameId", id}, {"status", status}, {"done", done}, {"running", running}});
+std::string render_status(const std::string& id, const char* status, std::uint32_t done,
+                          std::uint32_t running) {
+  return json::serialize(
+      json::object{{"nameId", id}, {"status", status}, {"done", done}, {"running", running}});
 }
 
 std::string render_error(std::string_view why) { return json::serialize(json::object{{"error", why}}); }
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -59,7 +59,8 @@
 std::string render_moved(const std::optional<std::string>& owner);
 
 std::string render_status(const std::string& id, const char* status);
-std::string render_status(const std::string& id, const char* status, std::uint32_t done, std::uint32_t running);
+std::string render_status(const std::string& id, const char* status, std::uint32_t done,
+                          std::uint32_t running);
 std::string render_error(std::string_view why);
 
 }  // namespace finchrun::wire
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -30,9 +30,9 @@
   core::TimePoint first_seen{};
 
   // The cloud's list.
-  bool listed = false;         // in the newest list
+  bool listed = false;  // in the newest list
   bool ever_listed = false;
-  std::string status;          // starting, running, failed
+  std::string status;  // starting, running, failed
   core::TimePoint starting_since{};
 
   // Reports, newest only.
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -37,7 +37,8 @@
   t.machines.insert(m.id);
   ++t.failures;
   if (t.machines.size() >= 2) {
-    const double pause = std::min(60.0, 2.0 * static_cast<double>(1 << std::min<std::size_t>(t.machines.size(), 6)));
+    const double pause =
+        std::min(60.0, 2.0 * static_cast<double>(1 << std::min<std::size_t>(t.machines.size(), 6)));
     t.retry_at = ctx.now + core::secs(pause);
   }
 }
@@ -115,8 +116,8 @@
         fact.done = piece->cause == Cause::done;
         if (ctx.fleet.facts.insert(fact).second) {
           out.changed = true;
-          spdlog::info("ended job={} task={} try={} machine={} cause={} saved={}", job_name, e.task, e.attempt,
-                       m.name, static_cast<int>(piece->cause), piece->saved);
+          spdlog::info("ended job={} task={} try={} machine={} cause={} saved={}", job_name, e.task,
+                       e.attempt, m.name, static_cast<int>(piece->cause), piece->saved);
           if (piece->cause == Cause::error || piece->cause == Cause::unknown) note_failure(ctx, m, job_id);
           if (piece->cause == Cause::no_room) m.avoid_until = ctx.now + core::secs(2);
           if (piece->cause == Cause::done) m.failed_jobs.clear();
@@ -128,7 +129,8 @@
                             gang_broken(*job, run, ctx.fleet, job_id, part) || run.done.contains(e.task);
       if (!piece) {
         if (trusted && (unwanted || ctx.fleet.seen.contains(start))) {
-          // Not there, and no order that would start it can be under way: answers to earlier reports are dead.
+          // Not there, and no order that would start it can be under way: answers to earlier reports are
+          // dead.
           out.changed |= ctx.fleet.facts.insert(gone).second;
         } else if (!unwanted && e.session == r.session) {
           out.orders.push_back({Order::Kind::start, job_name, e.task, e.attempt, 0});
