--- /dev/null
+++ b/tests/config/settings_test.cpp
@@ -0,0 +1,126 @@
+#include "config/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+namespace finchrun::config {
+namespace {
+
+const std::string kGood = R"(label = "perch-0"
+domain = "a"
+bind = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8081"
+future = true
+[[members]]
+label = "perch-1"
+domain = "b"
+endpoint = "127.0.0.1:8082"
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[deployment]
+nodes = 2
+zones = ["a", "b"]
+[[deployment.teams]]
+name = "red"
+gpus = 4.0
+gpus_max = 8.0
+[deployment.workers]
+report_s = 3.0
+)";
+
+struct File {
+  explicit File(const std::string& text)
+      : path(testing::TempDir() + "finchrun_settings_" + std::to_string(::getpid())) {
+    std::ofstream(path) << text;
+  }
+  ~File() { std::remove(path.c_str()); }
+  std::string path;
+};
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST(Settings, ReadsThePlatformsFile) {
+  File f(kGood);
+  const auto s = load_settings(f.path);
+  EXPECT_EQ(s.label, "perch-0");
+  EXPECT_EQ(s.listen.port, 8080);
+  ASSERT_EQ(s.members.size(), 1u);
+  EXPECT_EQ(s.members[0].zone, "b");
+  EXPECT_DOUBLE_EQ(s.teams.at(0).gpus_max, 8);
+  EXPECT_DOUBLE_EQ(s.report_s, 3);
+}
+
+struct Bad {
+  const char *from, *to, *field;
+};
+class BadSettings : public testing::TestWithParam<Bad> {};
+TEST_P(BadSettings, NameFieldOnOneLine) {
+  File f(replaced(kGood, GetParam().from, GetParam().to));
+  try {
+    load_settings(f.path);
+    FAIL() << "accepted";
+  } catch (const SettingsError& e) {
+    const std::string line = e.what();
+    EXPECT_NE(line.find(GetParam().field), std::string::npos) << line;
+    EXPECT_EQ(line.find('\n'), std::string::npos) << line;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, BadSettings,
+                         testing::Values(Bad{"label = \"perch-0\"\n", "", "label"},
+                                         Bad{"bind = \"127.0.0.1:8080\"", "bind = \"here:8080\"", "bind"},
+                                         Bad{"bind = \"127.0.0.1:8080\"", "bind = \"127.0.0.1:0\"", "bind"},
+                                         Bad{"state = \"127.0.0.1:2\"", "state = 2", "endpoints.state"},
+                                         Bad{"nodes = 2", "nodes = 0", "deployment.nodes"},
+                                         Bad{"zones = [\"a\", \"b\"]", "zones = []", "deployment.zones"},
+                                         Bad{"gpus = 4.0", "gpus = -1", "deployment.teams.gpus"},
+                                         Bad{"gpus = 4.0", "gpus = nan", "deployment.teams.gpus"},
+                                         Bad{"report_s = 3.0", "report_s = \"x\"",
+                                             "deployment.workers.report_s"},
+                                         Bad{"[deployment]", "[deployment", "file"}));
+
+struct Property {
+  const char *text, *field;  // no field: accepted
+};
+class Properties : public testing::TestWithParam<Property> {};
+TEST_P(Properties, AreChecked) {
+  File f(GetParam().text);
+  if (!GetParam().field) {
+    EXPECT_NO_THROW(load_properties(f.path));
+    return;
+  }
+  try {
+    load_properties(f.path);
+    FAIL() << "accepted";
+  } catch (const SettingsError& e) {
+    EXPECT_NE(std::string(e.what()).find(GetParam().field), std::string::npos) << e.what();
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, Properties,
+                         testing::Values(Property{"# nothing\n", nullptr},
+                                         Property{"usage.windows = 6\nusage.decay: 0.5\n", nullptr},
+                                         Property{"usage.decay = 1.5\n", "usage.decay"},
+                                         Property{"usage.windows = many\n", "usage.windows"},
+                                         Property{"rank.image_factor = 0.5\n", "rank.image_factor"},
+                                         Property{"round_s = 0\n", "round_s"},
+                                         Property{"usage.window_s = -3\n", "usage.window_s"}));
+
+TEST(Properties, DefaultsAreTheDesigns) {
+  const Tuning t;
+  EXPECT_NO_THROW(check(t));
+  EXPECT_DOUBLE_EQ(t.window_s, 30);
+  EXPECT_EQ(t.windows, 12);
+  EXPECT_DOUBLE_EQ(t.decay, 0.8);
+  EXPECT_DOUBLE_EQ(t.round_s, 2);
+}
+
+}  // namespace
+}  // namespace finchrun::config
--- /dev/null
+++ b/tests/sched/place_test.cpp
@@ -0,0 +1,186 @@
+#include "sched/place.hpp"
+
+#include <gtest/gtest.h>
+
+#include "sched/deal.hpp"
+
+namespace finchrun::sched {
+namespace {
+
+using core::ImageId;
+using core::JobId;
+using core::MachineId;
+using core::PartId;
+using core::TeamId;
+using core::TypeId;
+using core::ZoneId;
+
+Node node(std::uint32_t id, double gpus, bool spot = false, std::uint32_t type = 0) {
+  Node n;
+  n.id = MachineId{id};
+  n.type = TypeId{type};
+  n.zone = ZoneId{0};
+  n.spot = spot;
+  n.size = n.free = {gpus * 8, gpus, gpus * 64};
+  return n;
+}
+
+Demand demand(std::uint32_t job, std::uint32_t tasks, double gpus, bool gang) {
+  Demand d;
+  d.job = JobId{job};
+  d.team = TeamId{0};
+  d.image = ImageId{job};
+  d.image_gb = 5;
+  d.need = {gpus * 8, gpus, gpus * 64};
+  d.gang = gang;
+  d.count = tasks;
+  for (std::uint32_t i = 0; i < tasks; ++i) d.tasks.push_back(i);
+  d.room_in_zone = tasks;
+  return d;
+}
+
+Costs weight(double w) {
+  Costs c;
+  c.weight = w;
+  return c;
+}
+
+struct Case {
+  const char* name;
+  std::vector<Node> nodes;
+  std::vector<Demand> demands;
+  std::vector<double> weights;
+  double gpus_max;
+  std::vector<std::size_t> placed;  // tasks placed, by demand
+};
+
+class Place : public testing::TestWithParam<Case> {};
+
+TEST_P(Place, PlacesAsManyAs) {
+  const auto& c = GetParam();
+  std::vector<Costs> costs;
+  for (double w : c.weights) costs.push_back(weight(w));
+  const auto plan = place(c.nodes, c.demands, costs, {TeamRoom{{}, 0, c.gpus_max}});
+  std::vector<std::size_t> placed(c.demands.size());
+  std::map<MachineId, core::Resources> free;
+  for (const auto& n : c.nodes) free[n.id] = n.free;
+  for (const auto& p : plan.placements) {
+    ++placed[p.demand];
+    EXPECT_TRUE(c.demands[p.demand].need.fits(free[p.machine]));
+    free[p.machine] -= c.demands[p.demand].need;
+  }
+  EXPECT_EQ(placed, c.placed);
+}
+
+Demand with(Demand d, auto&& change) {
+  change(d);
+  return d;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, Place,
+    testing::Values(
+        Case{"highest weight first",
+             {node(0, 4)},
+             {demand(0, 1, 4, false), demand(1, 1, 4, false)},
+             {1, 2},
+             0,
+             {0, 1}},
+        Case{"gang all or nothing",
+             {node(0, 4), node(1, 2)},
+             {demand(0, 2, 4, true), demand(1, 1, 2, false)},
+             {2, 1},
+             0,
+             {0, 1}},
+        Case{"array takes what fits", {node(0, 4)}, {demand(0, 9, 1, false)}, {1}, 0, {4}},
+        Case{"team limit for arrays", {node(0, 8)}, {demand(0, 8, 1, false)}, {1}, 3, {3}},
+        Case{"team limit for gangs", {node(0, 8)}, {demand(0, 4, 1, true)}, {1}, 3, {0}},
+        Case{"spot only for those that may", {node(0, 4, true)}, {demand(0, 1, 4, false)}, {1}, 0, {0}},
+        Case{"spot allowed",
+             {node(0, 4, true)},
+             {with(demand(0, 1, 4, false), [](Demand& d) { d.spot = true; })},
+             {1},
+             0,
+             {1}},
+        Case{"type not allowed",
+             {node(0, 4, false, 1)},
+             {with(demand(0, 1, 1, false), [](Demand& d) { d.types = {{TypeId{0}}}; })},
+             {1},
+             0,
+             {0}},
+        Case{"other zone",
+             {node(0, 4)},
+             {with(demand(0, 1, 1, false), [](Demand& d) { d.zone = ZoneId{1}; })},
+             {1},
+             0,
+             {0}},
+        Case{"scatter cap",
+             {node(0, 8)},
+             {with(demand(0, 5, 1, false), [](Demand& d) { d.room_in_zone = 3; })},
+             {1},
+             0,
+             {3}},
+        Case{"scatter cap holds a gang back",
+             {node(0, 8)},
+             {with(demand(0, 5, 1, true), [](Demand& d) { d.room_in_zone = 3; })},
+             {1},
+             0,
+             {0}}),
+    [](const auto& info) {
+      std::string name = info.param.name;
+      std::replace(name.begin(), name.end(), ' ', '_');
+      return name;
+    });
+
+TEST(Place, PrefersTheMachineThatHasTheImage) {
+  auto cold = node(0, 4), warm = node(1, 4);
+  warm.images.push_back(ImageId{7});
+  auto d = demand(7, 1, 4, true);
+  const auto plan = place({cold, warm}, {d}, {weight(1)}, {TeamRoom{}});
+  ASSERT_EQ(plan.placements.size(), 1u);
+  EXPECT_EQ(plan.placements[0].machine, MachineId{1});
+}
+
+struct DealCase {
+  const char* name;
+  std::uint32_t tasks;
+  bool gang, spread;
+  std::vector<PartRoom> parts;
+  std::vector<std::uint32_t> want;  // tasks by part
+};
+class Deal : public testing::TestWithParam<DealCase> {};
+TEST_P(Deal, EveryTaskToOnePart) {
+  const auto& c = GetParam();
+  jobs::JobSpec spec;
+  spec.tasks = c.tasks;
+  spec.gang = c.gang;
+  spec.spread = c.spread;
+  const auto ranges = deal(spec, c.parts);
+  std::vector<std::uint32_t> got(c.parts.size());
+  std::uint32_t at = 0;
+  for (const auto& r : ranges) {
+    EXPECT_EQ(r.from, at);
+    at = r.to;
+    got[r.part.v] += r.to - r.from;
+  }
+  EXPECT_EQ(at, c.tasks);
+  EXPECT_EQ(got, c.want);
+}
+PartRoom room(std::uint32_t part, double free, double backlog = 0, double capacity = 16) {
+  return {PartId{part}, ZoneId{part}, true, free, backlog, capacity, false};
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, Deal,
+    testing::Values(DealCase{"gang to the roomiest", 2, true, false, {room(0, 1), room(1, 4)}, {0, 2}},
+                    DealCase{"array over free room", 6, false, false, {room(0, 4), room(1, 2)}, {4, 2}},
+                    DealCase{"backlog counts", 4, false, false, {room(0, 4, 4), room(1, 4)}, {0, 4}},
+                    DealCase{"scatter halves", 5, false, true, {room(0, 9), room(1, 9)}, {3, 2}},
+                    DealCase{"nothing free", 4, false, false, {room(0, 0), room(1, 0)}, {2, 2}}),
+    [](const auto& info) {
+      std::string name = info.param.name;
+      std::replace(name.begin(), name.end(), ' ', '_');
+      return name;
+    });
+
+}  // namespace
+}  // namespace finchrun::sched
--- /dev/null
+++ b/tests/worker/reports_test.cpp
@@ -0,0 +1,194 @@
+#include "worker/reports.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchrun::worker {
+namespace {
+
+using wire::Cause;
+using wire::Order;
+using wire::TaskState;
+
+// One part, one machine "m" in session 2, one record: task 0, attempt 7 on "m". Our token is 50.
+struct Bed {
+  explicit Bed(bool gang = false, std::uint32_t tasks = 1) : mirror(prepare(names), 1, 1) {
+    state::Event job{"jobs/req-1", std::nullopt, 40};
+    jobs::JobRecord r;
+    r.spec.lane = names.lanes.intern("lane");
+    r.spec.team = core::TeamId{0};
+    r.spec.image = names.images.intern("img");
+    r.spec.gang = gang;
+    r.spec.tasks = tasks;
+    r.ranges = {{0, tasks, core::PartId{0}}};
+    job.value = jobs::to_json(r, names);
+    mirror.apply(job);
+    machine = &fleet.intern(names, "m");
+    machine->part = core::PartId{0};
+    set_entries({{0, 7, machine->id, 2}}, 41);
+  }
+  static jobs::Names& prepare(jobs::Names& n) {
+    n.teams.intern("red");
+    n.parts.intern("a.0");
+    return n;
+  }
+  void set_entries(std::vector<jobs::Entry> entries, std::uint64_t stamp) {
+    jobs::RunRecord run;
+    run.entries = std::move(entries);
+    mirror.apply({"run/req-1/a.0", jobs::to_json(run, names), stamp});
+  }
+  void cancel() {
+    jobs::JobRecord r = *mirror.job(core::JobId{0});
+    r.status = jobs::Status::cancelled;
+    mirror.apply({"jobs/req-1", jobs::to_json(r, names), 60});
+  }
+  ReportResult report(std::uint64_t session, std::uint64_t seq, std::uint64_t token,
+                      std::vector<wire::Piece> pieces) {
+    wire::Report r;
+    r.machine = "m";
+    r.session = session;
+    r.seq = seq;
+    r.token = token;
+    r.pieces = std::move(pieces);
+    return take_report({names, mirror, fleet, trouble, 50, now}, *machine, r);
+  }
+  jobs::Names names;
+  state::Mirror mirror;
+  Fleet fleet;
+  std::unordered_map<core::JobId, JobTrouble> trouble;
+  core::TimePoint now{core::secs(1000)};
+  Machine* machine = nullptr;
+};
+
+wire::Piece piece(std::uint64_t attempt, TaskState state, Cause cause = Cause::none) {
+  return {"req-1", 0, attempt, state, cause, false};
+}
+std::vector<Order::Kind> kinds(const ReportResult& r) {
+  std::vector<Order::Kind> out;
+  for (const auto& o : r.orders) out.push_back(o.kind);
+  return out;
+}
+using Kinds = std::vector<Order::Kind>;
+
+struct Case {
+  const char* name;
+  bool cancelled;
+  std::uint64_t session, token;
+  std::vector<wire::Piece> pieces;
+  Kinds orders;
+  std::vector<bool> facts;  // done?, one for each fact
+};
+class FirstReport : public testing::TestWithParam<Case> {};
+TEST_P(FirstReport, MeansAndIsAnswered) {
+  const auto& c = GetParam();
+  Bed bed;
+  if (c.cancelled) bed.cancel();
+  const auto result = bed.report(c.session, 5, c.token, c.pieces);
+  EXPECT_EQ(result.kind, ReportResult::Kind::answer);
+  EXPECT_EQ(kinds(result), c.orders);
+  std::vector<bool> facts;
+  for (const auto& f : bed.fleet.facts) facts.push_back(f.done);
+  EXPECT_EQ(facts, c.facts);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, FirstReport,
+    testing::Values(Case{"recorded and absent is started", false, 2, 50, {}, {Order::Kind::start}, {}},
+                    Case{"running stays", false, 2, 50, {piece(7, TaskState::running)}, {}, {}},
+                    Case{"a later session has lost it", false, 3, 50, {}, {}, {false}},
+                    Case{"a later session is proof under any token", false, 3, 10, {}, {}, {false}},
+                    Case{"completed", false, 2, 50, {piece(7, TaskState::ended, Cause::done)}, {}, {true}},
+                    Case{"stopped", false, 2, 50, {piece(7, TaskState::ended, Cause::stopped)}, {}, {false}},
+                    Case{"cancelled and running is stopped",
+                         true,
+                         2,
+                         50,
+                         {piece(7, TaskState::running)},
+                         {Order::Kind::stop},
+                         {}},
+                    Case{"cancelled and absent is gone", true, 2, 50, {}, {}, {false}},
+                    Case{"cancelled and absent under an old token may still start", true, 2, 10, {}, {}, {}},
+                    Case{"unknown attempt is stopped",
+                         false,
+                         2,
+                         50,
+                         {piece(7, TaskState::running), piece(3, TaskState::running)},
+                         {Order::Kind::stop},
+                         {}},
+                    Case{"unknown ended attempt is forgotten",
+                         false,
+                         2,
+                         50,
+                         {piece(7, TaskState::running), piece(3, TaskState::ended, Cause::done)},
+                         {Order::Kind::forget},
+                         {}}),
+    [](const auto& info) {
+      std::string name = info.param.name;
+      for (char& ch : name)
+        if (ch == ' ') ch = '_';
+      return name;
+    });
+
+TEST(Reports, OlderOnesAndHigherTokensChangeNothing) {
+  Bed bed;
+  bed.report(2, 10, 50, {piece(7, TaskState::running)});
+  // Held back by the network and delivered late: it says the task is not there, which was true once.
+  EXPECT_EQ(bed.report(2, 9, 50, {}).kind, ReportResult::Kind::outdated);
+  EXPECT_EQ(bed.report(1, 99, 50, {}).kind, ReportResult::Kind::outdated);
+  EXPECT_EQ(bed.report(2, 11, 51, {}).kind, ReportResult::Kind::deposed);
+  EXPECT_TRUE(bed.fleet.facts.empty());
+}
+
+TEST(Reports, SeenThenAbsentIsGone) {
+  Bed bed;
+  bed.report(2, 10, 50, {piece(7, TaskState::running)});
+  const auto r = bed.report(2, 11, 50, {});
+  EXPECT_TRUE(r.orders.empty());
+  EXPECT_EQ(bed.fleet.facts.size(), 1u);
+}
+
+TEST(Reports, ForgetOnlyOnceTheEndIsRecorded) {
+  Bed bed;
+  EXPECT_TRUE(bed.report(2, 10, 50, {piece(7, TaskState::ended, Cause::done)}).orders.empty());
+  bed.set_entries({}, 70);
+  EXPECT_EQ(kinds(bed.report(2, 11, 50, {piece(7, TaskState::ended, Cause::done)})),
+            Kinds{Order::Kind::forget});
+}
+
+TEST(Reports, BrokenGangIsStoppedAndNotStarted) {
+  Bed bed(true, 2);  // the record holds one of two tasks
+  EXPECT_EQ(kinds(bed.report(2, 10, 50, {piece(7, TaskState::waiting)})), Kinds{Order::Kind::stop});
+  Bed fresh(true, 2);
+  EXPECT_TRUE(fresh.report(2, 10, 50, {}).orders.empty());
+  EXPECT_EQ(fresh.fleet.facts.size(), 1u);
+}
+
+TEST(Reports, StopKeepsGraceAndSavingIsLeftAlone) {
+  Bed bed;
+  bed.fleet.to_stop[{core::JobId{0}, 0, 7}] = 9;
+  const auto r = bed.report(2, 10, 50, {piece(7, TaskState::running)});
+  ASSERT_EQ(r.orders.size(), 1u);
+  EXPECT_DOUBLE_EQ(r.orders[0].grace_s, 9);
+  EXPECT_TRUE(bed.report(2, 11, 50, {piece(7, TaskState::saving)}).orders.empty());
+  bed.cancel();
+  const auto hard = bed.report(2, 12, 50, {piece(7, TaskState::saving)});
+  ASSERT_EQ(hard.orders.size(), 1u);
+  EXPECT_DOUBLE_EQ(hard.orders[0].grace_s, 0);
+}
+
+TEST(Reports, SeveralJobsFailingPointAtTheMachine) {
+  Bed bed;
+  bed.report(2, 10, 50, {piece(7, TaskState::ended, Cause::error)});
+  EXPECT_FALSE(bed.machine->sick);
+  bed.machine->failed_jobs.insert(core::JobId{9});
+  bed.fleet.facts.clear();
+  bed.report(2, 11, 50, {piece(7, TaskState::ended, Cause::error)});
+  EXPECT_TRUE(bed.machine->sick);
+}
+
+TEST(Reports, DeletedMachineTakesItsEntriesAlong) {
+  Bed bed;
+  machine_gone(bed.mirror, bed.fleet, bed.machine->id);
+  EXPECT_EQ(bed.fleet.facts.size(), 1u);
+}
+
+}  // namespace
+}  // namespace finchrun::worker
