--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -45,6 +45,21 @@
   return used;
 }
 
+void World::observe_lanes() {
+  constexpr double kFade = 0.98;  // a round
+  lanes.resize(names.lanes.size());
+  std::vector<double> now(lanes.size(), 0.0);
+  for (const auto id : mirror.live()) {
+    const auto& spec = mirror.job(id)->spec;
+    auto& lane = lanes[spec.lane.v];
+    lane.need = spec.need;
+    lane.spot = spec.spot;
+    lane.types = spec.types;
+    now[spec.lane.v] += spec.tasks - std::min(spec.tasks, mirror.done(id));
+  }
+  for (std::size_t l = 0; l < lanes.size(); ++l) lanes[l].tasks = std::max(now[l], lanes[l].tasks * kFade);
+}
+
 bool World::usable(const worker::Machine& m, core::TimePoint now) const {
   return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing &&
          m.strangers == 0 && core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -8,6 +8,7 @@
 #include "config/settings.hpp"
 #include "ledger/usage.hpp"
 #include "membership/parts.hpp"
+#include "sched/place.hpp"
 #include "state/mirror.hpp"
 #include "worker/fleet.hpp"
 #include "worker/reports.hpp"
@@ -26,6 +27,7 @@
   std::unordered_map<core::JobId, worker::JobTrouble> trouble;
   std::vector<ledger::UsageWindows> usage;  // by part; only those of own parts are kept up to date here
   std::vector<std::uint64_t> usage_from;    // term under which `usage` was taken over
+  std::vector<sched::LaneProfile> lanes;    // by lane: what its jobs look like, how many tasks it has lately
   std::vector<double> shares;               // by team, from its guarantee
 
   std::uint64_t incarnation = 0;  // of this process; 0: not a member yet
@@ -53,6 +55,8 @@
   // A member whose process runs, as far as the state service knows.
   [[nodiscard]] bool alive(const std::string& label) const { return mirror.member(label) != nullptr; }
 
+  // Renews the lanes' profiles from the jobs that live; what they asked for a while ago fades.
+  void observe_lanes();
   [[nodiscard]] core::Resources used_on(core::MachineId id) const;
   [[nodiscard]] std::vector<core::Resources> used_by_team() const;
   // Is the machine up and does its worker obey this controller?
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -165,7 +165,7 @@
     }
   });
   if (edits.empty()) co_return;
-  for (auto& batch : pack(edits, static_cast<std::size_t>(settings_.state_txn_ops))) {
+  for (auto& batch : pack(edits, store_.most_changes())) {
     if (!store_.spend(static_cast<int>(batch.txn.then.size()))) co_return;  // the rest in the next flush
     auto txn = batch.txn;
     const auto result = co_await commit(std::move(txn));
@@ -209,6 +209,9 @@
     for (std::uint32_t i = 0; i < teams.size(); ++i)
       team_stamps.push_back(w.mirror.team_stamp(core::TeamId{i}));
 
+    w.observe_lanes();
+    auto lanes = w.lanes;
+    for (auto& l : lanes) l.tasks /= static_cast<double>(w.parts.size());
     for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
       const core::PartId part{p};
       if (!w.acting(part)) {
@@ -257,6 +260,7 @@
         if (m.avoid_until > now) n.risk = 30;
         list.push_back(std::move(n));
       }
+      sched::mark_wanted(list, lanes);
     }
 
     constexpr std::size_t kMostTasks =
@@ -294,6 +298,7 @@
         if (job.spec.gang && d.tasks.size() != job.spec.tasks) continue;
         d.job = id;
         d.team = job.spec.team;
+        d.lane = job.spec.lane;
         d.image = job.spec.image;
         d.image_gb = job.spec.image_gb;
         d.need = job.spec.need;
@@ -398,7 +403,7 @@
   backlog_ = std::move(left);
   backlog_part_ = std::move(left_part);
 
-  for (auto& batch : pack(edits, static_cast<std::size_t>(settings_.state_txn_ops))) {
+  for (auto& batch : pack(edits, store_.most_changes())) {
     if (!store_.spend(static_cast<int>(batch.txn.then.size()))) break;
     auto txn = batch.txn;
     // The team's counter moved with an earlier batch of this round: that one was ours, so its new stamp
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -10,6 +10,21 @@
   return std::find(n.images.begin(), n.images.end(), image) != n.images.end();
 }
 
+double dominant_share(const core::Resources& need, const core::Resources& size) {
+  double share = 0;
+  if (size.gpus > 0) share = std::max(share, need.gpus / size.gpus);
+  if (size.cpus > 0) share = std::max(share, need.cpus / size.cpus);
+  if (size.ram_gb > 0) share = std::max(share, need.ram_gb / size.ram_gb);
+  return share;
+}
+
+bool hosts(const Node& n, const LaneProfile& lane) {
+  if (n.spot && !lane.spot) return false;
+  if (lane.types && std::find(lane.types->begin(), lane.types->end(), n.type) == lane.types->end())
+    return false;
+  return lane.need.fits(n.size);
+}
+
 // What starting the task here costs, in seconds and their like: the fetch, the machine's risk, and the scarce
 // room used up. Lower is better.
 double cost_here(const Demand& d, const Node& n) {
@@ -17,12 +32,18 @@
   if (!holds(n, d.image)) cost += 2 + d.image_gb / std::max(n.fetch_gb_per_s, 0.01);
   // Ordinary machines are kept for those that may not use spot machines.
   if (d.spot && !n.spot) cost += 3;
-  // Best fit: leave large holes whole, and big machines to big tasks.
+  // Machines that other lanes can't do without are left to them.
+  double wanted = 0;
+  for (std::size_t lane = 0; lane < n.wanted.size(); ++lane)
+    if (lane != d.lane.v) wanted += n.wanted[lane];
+  cost += 10 * std::min(wanted, 3.0);
+  // The share of the machine that it makes unusable for others, in units of accelerators.
+  cost += 1.5 * dominant_share(d.need, n.size) * std::max(1.0, n.size.gpus);
+  // Best fit: leave large holes whole.
   core::Resources left = n.free;
   left -= d.need;
   if (n.size.gpus > 0) cost += 4 * left.gpus / n.size.gpus;
   if (n.size.cpus > 0) cost += 2 * left.cpus / n.size.cpus;
-  cost += n.size.gpus * 0.2 + n.size.cpus * 0.01;
   return cost;
 }
 
@@ -44,6 +65,19 @@
 
 }  // namespace
 
+void mark_wanted(std::vector<Node>& nodes, const std::vector<LaneProfile>& lanes) {
+  for (auto& n : nodes) n.wanted.assign(lanes.size(), 0.0);
+  for (std::size_t l = 0; l < lanes.size(); ++l) {
+    if (lanes[l].tasks <= 0) continue;
+    double places = 0;
+    for (const auto& n : nodes)
+      if (hosts(n, lanes[l])) places += lanes[l].need.times_in(n.size);
+    if (places <= 0) continue;
+    for (auto& n : nodes)
+      if (hosts(n, lanes[l])) n.wanted[l] = lanes[l].tasks / places;
+  }
+}
+
 bool allowed(const Demand& d, const Node& n) {
   if (n.spot && !d.spot) return false;
   if (d.zone && *d.zone != n.zone) return false;
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -20,7 +20,8 @@
   core::Resources free;
   std::vector<core::ImageId> images;  // cached, or being fetched
   double fetch_gb_per_s = 1;
-  double risk = 0;  // seconds that starting here is expected to cost more than elsewhere
+  std::vector<double> wanted;  // by lane: how much the lane needs machines like this one
+  double risk = 0;             // seconds that starting here is expected to cost more than elsewhere
 };
 
 struct Demand {
@@ -38,6 +39,15 @@
   std::vector<std::uint32_t> tasks;  // the first of them; for a gang all
   std::uint32_t room_in_zone = 0;    // how many more tasks this zone may take (`spread`)
   double waited_s = 0;
+  core::LaneId lane;
+};
+
+// What jobs of a lane look like lately, and how many of their tasks run or wait.
+struct LaneProfile {
+  core::Resources need;
+  bool spot = false;
+  std::optional<std::vector<core::TypeId>> types;
+  double tasks = 0;
 };
 
 struct TeamRoom {
@@ -60,6 +70,10 @@
   std::vector<std::size_t> unplaced;  // demands with tasks left, highest weight first
 };
 
+// How much each lane, by its id, would miss a machine of the node's type and kind: its tasks over the places
+// that the fleet has for them. Filled into `Node::wanted`.
+void mark_wanted(std::vector<Node>& nodes, const std::vector<LaneProfile>& lanes);
+
 // True if the machine is of a type, zone and kind that the job allows.
 bool allowed(const Demand& d, const Node& n);
 
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -73,6 +73,8 @@
   asio::awaitable<int> extend(std::uint64_t hold);
   // Room for `writes` changes now? Spends it.
   bool spend(int writes);
+  // Most changes that one transaction may hold: more than a burst of the budget could never be spent at once.
+  [[nodiscard]] std::size_t most_changes() const { return most_changes_; }
 
  private:
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body, double reserve);
@@ -81,6 +83,7 @@
   std::unique_ptr<http::Transport> renewals_;  // own connection: a renewal never waits behind a large answer
   Budget requests_;
   Budget writes_;
+  std::size_t most_changes_ = 2;
 };
 
 }  // namespace finchrun::state
--- /dev/null
+++ b/tests/state/store_test.cpp
@@ -0,0 +1,128 @@
+#include "state/store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
+
+namespace finchrun::state {
+namespace {
+
+// Answers with what the test has prepared, and keeps what it was asked.
+struct Scripted : http::Network {
+  struct Line : http::Transport {
+    explicit Line(Scripted& s) : script(s) {}
+    asio::awaitable<http::Answer> call(http::Verb, std::string target, std::string,
+                                       std::chrono::milliseconds) override {
+      script.asked.push_back(std::move(target));
+      if (script.answers.empty()) co_return http::Answer{};
+      auto a = script.answers.front();
+      script.answers.pop_front();
+      co_return a;
+    }
+    Scripted& script;
+  };
+  std::unique_ptr<http::Transport> connect(const config::Endpoint&, std::size_t) override {
+    return std::make_unique<Line>(*this);
+  }
+  std::deque<http::Answer> answers;
+  std::vector<std::string> asked;
+};
+
+template <class F>
+auto run(F&& f) {
+  asio::io_context io;
+  using T = typename decltype(f())::value_type;
+  std::optional<T> out;
+  asio::co_spawn(
+      io, [&]() -> asio::awaitable<void> { out = co_await f(); }, asio::detached);
+  io.run();
+  return *out;
+}
+
+config::Settings settings(double write_rps, int txn_ops) {
+  config::Settings s;
+  s.nodes = 3;
+  s.state_write_rps = write_rps;
+  s.state_txn_ops = txn_ops;
+  return s;
+}
+
+struct CommitCase {
+  int status;
+  const char* body;
+  Outcome outcome;
+};
+class Commit : public testing::TestWithParam<CommitCase> {};
+TEST_P(Commit, AnswerMeans) {
+  Scripted net;
+  Store store(net, settings(20, 16));
+  net.answers.push_back({GetParam().status, GetParam().body});
+  const auto result = run([&] { return store.commit(Txn{}); });
+  EXPECT_EQ(result.outcome, GetParam().outcome);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, Commit,
+    testing::Values(CommitCase{200, R"({"epoch":432})", Outcome::done},
+                    CommitCase{409, R"({"failed":["a/b"],"epoch":431})", Outcome::conflict},
+                    CommitCase{400, R"({"error":"no such lease"})", Outcome::no_hold},
+                    CommitCase{400, R"({"error":"value too large"})", Outcome::malformed},
+                    CommitCase{429, "", Outcome::refused}, CommitCase{503, "", Outcome::refused},
+                    CommitCase{0, "", Outcome::unknown}, CommitCase{500, "", Outcome::unknown},
+                    CommitCase{200, "<html>", Outcome::unknown},
+                    CommitCase{200, R"({"epoch":"x"})", Outcome::unknown},
+                    CommitCase{409, R"({"epoch":431})", Outcome::unknown}));
+
+struct ChangesCase {
+  int status;
+  const char* body;
+  Changes::Kind kind;
+  std::size_t events;
+};
+class ReadChanges : public testing::TestWithParam<ChangesCase> {};
+TEST_P(ReadChanges, AnswerMeans) {
+  Scripted net;
+  Store store(net, settings(20, 16));
+  net.answers.push_back({GetParam().status, GetParam().body});
+  const auto result = run([&] { return store.changes(7); });
+  EXPECT_EQ(result.kind, GetParam().kind);
+  EXPECT_EQ(result.events.size(), GetParam().events);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, ReadChanges,
+    testing::Values(
+        ChangesCase{
+            200,
+            R"({"epoch":433,"events":[{"set":"c/9","data":{},"stamp":433},{"delete":"c/d","stamp":432}]})",
+            Changes::Kind::ok, 2},
+        ChangesCase{200, R"({"epoch":433,"events":[]})", Changes::Kind::ok, 0},
+        ChangesCase{410, "", Changes::Kind::too_old, 0}, ChangesCase{503, "", Changes::Kind::failed, 0},
+        ChangesCase{200, R"({"epoch":433,"events":[{"set":3}]})", Changes::Kind::failed, 0},
+        ChangesCase{0, "", Changes::Kind::failed, 0}));
+
+// A round once made transactions larger than the budget could ever grant, and nothing was placed any more.
+TEST(WriteBudget, LargestTransactionCanBeSpent) {
+  for (const double rps : {5.0, 20.0, 50.0}) {
+    Scripted net;
+    Store store(net, settings(rps, 16));
+    EXPECT_LE(store.most_changes(), 16u);
+    EXPECT_TRUE(store.spend(static_cast<int>(store.most_changes()))) << rps;
+  }
+}
+
+TEST(Budget, KeepsTheReserveAndRefills) {
+  const auto t0 = core::TimePoint(core::secs(100));
+  Budget b(10, 10, t0);
+  EXPECT_FALSE(b.take(9, 0.2, t0));
+  EXPECT_TRUE(b.take(8, 0.2, t0));
+  EXPECT_FALSE(b.take(1, 0.2, t0));
+  EXPECT_TRUE(b.take(2, 0, t0));  // what is reserved serves renewals
+  EXPECT_TRUE(b.take(5, 0, t0 + core::secs(0.5)));
+  b.refused(t0 + core::secs(5));
+  EXPECT_FALSE(b.take(1, 0, t0 + core::secs(5)));
+}
+
+}  // namespace
+}  // namespace finchrun::state
