--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -73,10 +73,15 @@
       most_changes_(std::max<std::size_t>(
           2, std::min<std::size_t>(static_cast<std::size_t>(s.state_txn_ops),
                                    static_cast<std::size_t>(part_of(s.state_write_rps, s.nodes))))) {}
-};
-http::Answer answer = co_await client_->call(verb, std::move(target), std::move(body), kLimit);
-if (answer.status == 429) requests_.refused(core::Steady::now());
-co_return answer;
+
+bool Store::spend(int writes) { return writes_.take(writes, 0, core::Steady::now()); }
+
+asio::awaitable<http::Answer> Store::call(http::Verb verb, std::string target, std::string body,
+                                          double reserve) {
+  if (!requests_.take(1, reserve, core::Steady::now())) co_return http::Answer{429, {}};
+  http::Answer answer = co_await client_->call(verb, std::move(target), std::move(body), kLimit);
+  if (answer.status == 429) requests_.refused(core::Steady::now());
+  co_return answer;
 }
 
 asio::awaitable<Committed> Store::commit(Txn txn) {
