--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -13,6 +13,7 @@
 #include "http/transport.hpp"
 #include "sched/deal.hpp"
 #include "sched/place.hpp"
+#include "sched/preempt.hpp"
 #include "state/store.hpp"
 
 namespace finchrun::app {
@@ -50,6 +51,8 @@
   asio::awaitable<void> writer_loop();
   asio::awaitable<void> flush();
   asio::awaitable<void> round();
+  void start_eviction(const sched::Eviction& e, const sched::Demand& d,
+                      const std::vector<sched::Running>& running, core::TimePoint now);
   asio::awaitable<void> move_ranges();
   asio::awaitable<void> save_usage();
   asio::awaitable<state::Committed> commit(state::Txn txn);
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -90,6 +90,88 @@
   return next;
 }
 
+// Tasks of the part that could be stopped, and what that would cost.
+std::vector<sched::Running> running_in(const World& w, core::PartId part, core::TimePoint now) {
+  constexpr double kYoung = 30;  // a start that is stopped sooner than this was none, to its user
+  std::vector<sched::Running> out;
+  for (const auto& [key, run] : w.mirror.runs()) {
+    if (key.second != part) continue;
+    const auto* job = w.mirror.job(key.first);
+    if (!job || job->status != jobs::Status::live) continue;
+    for (const auto& e : run.entries) {
+      const worker::Start start{key.first, e.task, e.attempt};
+      if (w.fleet.to_stop.contains(start)) continue;
+      if (w.fleet.facts.contains({key.first, part, e.task, e.attempt, true}) ||
+          w.fleet.facts.contains({key.first, part, e.task, e.attempt, false}))
+        continue;
+      const auto seen = w.fleet.seen.find(start);
+      const double ran = seen == w.fleet.seen.end() ? 0 : core::since(seen->second, now);
+      sched::Running r;
+      r.job = key.first;
+      r.team = job->spec.team;
+      r.task = e.task;
+      r.attempt = e.attempt;
+      r.machine = e.machine;
+      r.need = job->spec.need;
+      r.priority = static_cast<int>(job->spec.priority);
+      r.gang = job->spec.gang;
+      r.loss_s = job->spec.checkpoint_s > 0 ? job->spec.save_s + 5 : ran;
+      if (ran < kYoung) r.loss_s += 10;
+      out.push_back(r);
+    }
+  }
+  return out;
+}
+
+// Tasks on machines that the cloud is about to take save what they have and start again elsewhere.
+void drain(World& w, core::PartId part) {
+  std::set<core::JobId> gangs;
+  const auto stop = [&](core::JobId id, const jobs::JobSpec& spec, const jobs::Entry& e) {
+    const double grace = spec.checkpoint_s > 0 ? spec.save_s * 1.5 + 2 : 0;
+    if (w.fleet.to_stop.try_emplace({id, e.task, e.attempt}, grace).second)
+      spdlog::info("drain job={} task={} try={} machine={}", w.names.jobs.name(id), e.task, e.attempt,
+                   w.names.machines.name(e.machine));
+  };
+  for (const bool gang_pass : {false, true}) {
+    for (const auto& [key, run] : w.mirror.runs()) {
+      const auto* job = w.mirror.job(key.first);
+      if (key.second != part || !job || job->status != jobs::Status::live) continue;
+      for (const auto& e : run.entries) {
+        const auto* m = w.fleet.find(e.machine);
+        if (gang_pass) {
+          if (gangs.contains(key.first)) stop(key.first, job->spec, e);
+          continue;
+        }
+        if (!m || !m->notice_s || *m->notice_s > job->spec.save_s + 2 * w.s.report_s + 4) continue;
+        if (job->spec.gang) {
+          gangs.insert(key.first);
+        } else {
+          stop(key.first, job->spec, e);
+        }
+      }
+    }
+  }
+}
+
+// Jobs that fit their team's guarantee together with the team's earlier unfinished jobs.
+std::set<core::JobId> jobs_within_guarantee(const World& w) {
+  std::vector<std::pair<double, core::JobId>> by_age;
+  for (const auto id : w.mirror.live()) by_age.emplace_back(w.mirror.job(id)->spec.submitted_s, id);
+  std::sort(by_age.begin(), by_age.end());
+  std::vector<core::Resources> asked(w.s.teams.size());
+  std::set<core::JobId> out;
+  for (const auto& [_, id] : by_age) {
+    const auto& spec = w.mirror.job(id)->spec;
+    const auto& team = w.s.teams.at(spec.team.v);
+    auto& sum = asked[spec.team.v];
+    sum += spec.need * static_cast<double>(spec.tasks - std::min(spec.tasks, w.mirror.done(id)));
+    const bool gpus = team.gpus <= 0 ? spec.need.gpus <= 0 : sum.gpus <= team.gpus + core::Resources::kSlack;
+    const bool cpus = team.cpus <= 0 || sum.cpus <= team.cpus + core::Resources::kSlack;
+    if ((team.gpus > 0 || team.cpus > 0) && gpus && cpus) out.insert(id);
+  }
+  return out;
+}
+
 }  // namespace
 
 asio::awaitable<void> Controller::writer_loop() {
@@ -193,6 +275,8 @@
   std::vector<double> usage(settings_.teams.size(), 0);
   std::vector<sched::TeamRoom> teams(settings_.teams.size());
   std::map<core::PartId, std::vector<sched::Node>> nodes;
+  std::map<core::PartId, std::vector<sched::Running>> running;
+  std::vector<sched::TeamClaim> claims;
   std::vector<double> shares;
   std::vector<std::uint64_t> team_stamps;
   std::uint64_t attempt = 0;
@@ -206,6 +290,8 @@
     const auto used = w.used_by_team();
     for (std::size_t i = 0; i < teams.size(); ++i)
       teams[i] = {used[i], w.s.teams[i].cpus_max, w.s.teams[i].gpus_max};
+    for (std::size_t i = 0; i < teams.size(); ++i)
+      claims.push_back({used[i], w.s.teams[i].cpus, w.s.teams[i].gpus});
     for (std::uint32_t i = 0; i < teams.size(); ++i)
       team_stamps.push_back(w.mirror.team_stamp(core::TeamId{i}));
 
@@ -258,11 +344,18 @@
         n.fetch_gb_per_s = flavor->fetch_gb_per_s;
         for (const auto& [image, _] : m.images) n.images.push_back(image);
         if (m.avoid_until > now) n.risk = 30;
+        if (m.reserved_until > now) n.reserved_for = m.reserved_for;
         list.push_back(std::move(n));
       }
       sched::mark_wanted(list, lanes);
+      drain(w, part);
+      running[part] = running_in(w, part, now);
     }
 
+    const auto guaranteed = jobs_within_guarantee(w);
+    std::set<core::JobId> reserved;
+    for (const auto& [_, m] : w.fleet.all())
+      if (m.reserved_until > now) reserved.insert(m.reserved_for);
     constexpr std::size_t kMostTasks =
         200;  // of one job in one round: bounds a record's size and the work here
     for (const auto id : w.mirror.live()) {
@@ -299,6 +392,8 @@
         d.job = id;
         d.team = job.spec.team;
         d.lane = job.spec.lane;
+        d.guaranteed = guaranteed.contains(id);
+        d.has_reservation = reserved.contains(id);
         d.image = job.spec.image;
         d.image_gb = job.spec.image_gb;
         d.need = job.spec.need;
@@ -391,6 +486,8 @@
         edits.push_back(std::move(e));
       }
     });
+    for (const auto& e : sched::preempt(plan.nodes, mine, plan.unplaced, running[part], plan.teams, claims))
+      start_eviction(e, mine[e.demand], running[part], now);
     for (const auto local : plan.unplaced) {
       auto d = mine[local];
       const auto placed = by_demand.contains(local) ? by_demand[local].size() : 0;
@@ -428,6 +525,29 @@
   own_team_stamps_.clear();
 }
 
+void Controller::start_eviction(const sched::Eviction& e, const sched::Demand& d,
+                                const std::vector<sched::Running>& running, core::TimePoint now) {
+  world_.with([&](World& w) {
+    double longest = 0;
+    for (const auto v : e.victims) {
+      const auto& r = running[v];
+      const auto& spec = w.mirror.job(r.job)->spec;
+      // All of a gang must hear it within gang_peer_s of each other, with time to save.
+      const double grace = spec.checkpoint_s > 0 ? spec.save_s * 1.5 + 2 : 0;
+      longest = std::max(longest, grace);
+      w.fleet.to_stop[{r.job, r.task, r.attempt}] = grace;
+      spdlog::info("preempt job={} task={} try={} machine={} for={}", w.names.jobs.name(r.job), r.task,
+                   r.attempt, w.names.machines.name(r.machine), w.names.jobs.name(d.job));
+    }
+    for (const auto id : e.machines) {
+      auto* m = w.fleet.find(id);
+      if (!m) continue;
+      m->reserved_for = d.job;
+      m->reserved_until = now + core::secs(longest + 2 * w.s.report_s + 4);
+    }
+  });
+}
+
 asio::awaitable<void> Controller::move_ranges() {
   // What can't be placed here goes where there is room for it: one job a round, so that views stay true.
   struct Move {
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -10,6 +10,9 @@
   return std::find(n.images.begin(), n.images.end(), image) != n.images.end();
 }
 
+// Above this a priority's claim goes before the ranking; idle work takes part in the ranking like any other.
+constexpr int kOrdinary = 1;
+
 double dominant_share(const core::Resources& need, const core::Resources& size) {
   double share = 0;
   if (size.gpus > 0) share = std::max(share, need.gpus / size.gpus);
@@ -52,6 +55,7 @@
   double best_cost = 0;
   for (auto& n : nodes) {
     if (!d.need.fits(n.free) || !allowed(d, n)) continue;
+    if (n.reserved_for.valid() && n.reserved_for != d.job) continue;
     const double cost = cost_here(d, n);
     if (!best || cost < best_cost) best = &n, best_cost = cost;
   }
@@ -88,8 +92,11 @@
            std::vector<TeamRoom> teams) {
   std::vector<std::size_t> order(demands.size());
   std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(),
-                   [&](std::size_t a, std::size_t b) { return costs[a].weight > costs[b].weight; });
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    const int pa = std::max(demands[a].priority, kOrdinary);
+    const int pb = std::max(demands[b].priority, kOrdinary);
+    return pa != pb ? pa > pb : costs[a].weight > costs[b].weight;
+  });
   Plan plan;
   for (const auto index : order) {
     const Demand& d = demands[index];
@@ -130,6 +137,8 @@
     }
     if (placed < d.count) plan.unplaced.push_back(index);
   }
+  plan.nodes = std::move(nodes);
+  plan.teams = std::move(teams);
   return plan;
 }
 
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -21,6 +21,7 @@
   std::vector<core::ImageId> images;  // cached, or being fetched
   double fetch_gb_per_s = 1;
   std::vector<double> wanted;  // by lane: how much the lane needs machines like this one
+  core::JobId reserved_for;    // room was made here for this job: no other takes it
   double risk = 0;             // seconds that starting here is expected to cost more than elsewhere
 };
 
@@ -40,6 +41,8 @@
   std::uint32_t room_in_zone = 0;    // how many more tasks this zone may take (`spread`)
   double waited_s = 0;
   core::LaneId lane;
+  bool guaranteed = false;       // fits its team's guarantee together with the team's earlier unfinished jobs
+  bool has_reservation = false;  // room is being made for it already
 };
 
 // What jobs of a lane look like lately, and how many of their tasks run or wait.
@@ -68,6 +71,8 @@
 struct Plan {
   std::vector<Placement> placements;
   std::vector<std::size_t> unplaced;  // demands with tasks left, highest weight first
+  std::vector<Node> nodes;            // with what is free after placing
+  std::vector<TeamRoom> teams;
 };
 
 // How much each lane, by its id, would miss a machine of the node's type and kind: its tasks over the places
--- /dev/null
+++ b/src/sched/preempt.hpp
@@ -0,0 +1,48 @@
+// Which running tasks to stop so that a waiting job gets room it has a claim to.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "sched/place.hpp"
+
+namespace finchrun::sched {
+
+struct Running {
+  core::JobId job;
+  core::TeamId team;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  core::MachineId machine;
+  core::Resources need;
+  int priority = 0;
+  bool gang = false;
+  double loss_s = 0;  // work lost and time spent if it is stopped now
+};
+
+struct TeamClaim {
+  core::Resources used;
+  double cpus = 0, gpus = 0;  // guaranteed; 0: none
+  // Would the team still have its guarantee in use without `less`?
+  [[nodiscard]] bool beyond(const core::Resources& less) const {
+    constexpr double s = core::Resources::kSlack;
+    const bool by_gpus = gpus > 0 && used.gpus - less.gpus >= gpus - s;
+    const bool by_cpus = cpus > 0 && used.cpus - less.cpus >= cpus - s;
+    return (gpus <= 0 && cpus <= 0) || by_gpus || by_cpus;
+  }
+};
+
+struct Eviction {
+  std::size_t demand = 0;
+  std::vector<std::size_t> victims;       // indices into the running tasks
+  std::vector<core::MachineId> machines;  // where the demand's tasks shall go
+};
+
+// For the unplaced demands, in the plan's order. `nodes` as they are after placing. Stops nothing that the
+// protocol's preemption rules protect: work of equal or higher priority, unless its team is beyond its
+// guarantee and the waiting job within that of its own.
+std::vector<Eviction> preempt(std::vector<Node> nodes, const std::vector<Demand>& demands,
+                              const std::vector<std::size_t>& unplaced, const std::vector<Running>& running,
+                              std::vector<TeamRoom> rooms, std::vector<TeamClaim> claims);
+
+}  // namespace finchrun::sched
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -52,6 +52,10 @@
   core::TimePoint avoid_until{};
   bool sick = false;
   bool releasing = false;
+
+  // Room is being made here for this job.
+  core::JobId reserved_for;
+  core::TimePoint reserved_until{};
 };
 
 // An entry of a run record, as a key.
@@ -99,8 +103,8 @@
   }
 
   std::set<Fact> facts;
-  std::set<Start> seen;             // starts that a report has shown on their machine
-  std::map<Start, double> to_stop;  // starts to be stopped, with the grace to save
+  std::map<Start, core::TimePoint> seen;  // starts that a report has shown on their machine, and since when
+  std::map<Start, double> to_stop;        // starts to be stopped, with the grace to save
 
  private:
   std::map<core::MachineId, Machine> machines_;
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -137,7 +137,7 @@
         }
         continue;
       }
-      ctx.fleet.seen.insert(start);
+      ctx.fleet.seen.try_emplace(start, ctx.now);
       if (!unwanted) continue;
       const double grace = live && stop != ctx.fleet.to_stop.end() ? stop->second : 0;
       if (piece->state == TaskState::saving && grace > 0) continue;
