Rounds on events and orders straight to workers, with late orders kept booked

Cause: a start waited for the next round (2 s) and the worker's next report (3 s on ctna), which the 10 s and 18 s aims can't spare. A start order without an answer may be carried out later: its task stays booked and unforgotten until answered or until a new term voids it.

--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -20,6 +20,14 @@
 
 namespace asio = boost::asio;
 
+// One job's change within a transaction.
+struct Edit {
+  std::vector<state::Condition> when;
+  std::vector<state::Change> then;
+  std::vector<worker::Fact> facts;                               // settled by it
+  std::map<core::MachineId, std::vector<worker::Start>> starts;  // that may leave once it is durable
+};
+
 class Controller {
  public:
   Controller(asio::io_context& io, http::Network& network, const config::Settings& s, const config::Tuning& t,
@@ -45,6 +53,10 @@
   asio::awaitable<void> hand_back(core::PartId part, std::string to);
   asio::awaitable<void> push_loop();
   asio::awaitable<void> push(core::MachineId machine);
+  // Sends orders straight to the worker; `starts` are those among them that start tasks.
+  asio::awaitable<void> send(core::MachineId machine, std::vector<wire::Order> orders,
+                             std::vector<worker::Start> starts);
+  void send_starts(const std::vector<const Edit*>& edits);
 
   // Own parts: records and rounds. One coroutine, so that the writes of this controller never race each
   // other.
@@ -90,7 +102,9 @@
   std::list<std::shared_ptr<Waiter>> waiters_;
   core::Timer sync_wake_;
   core::Timer writer_wake_;
-  core::TimePoint next_round_{};
+  core::TimePoint next_round_{}, last_round_{};
+  std::uint64_t round_version_ = 0;
+  double round_seconds_ = 0;                 // since the round before
   std::set<std::uint64_t> own_team_stamps_;  // of this round's own commits
   std::vector<sched::Demand> backlog_;       // what the last round could not place
   std::vector<core::PartId> backlog_part_;
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -23,6 +23,16 @@
   return txn;
 }
 
+// A start order that got no answer for this long is made void by a new term; until then its task stays
+// booked.
+bool has_loose_orders(const World& w, core::PartId part, core::TimePoint now) {
+  constexpr double kPatience = 10;
+  return std::any_of(w.fleet.sent.begin(), w.fleet.sent.end(), [&](const auto& item) {
+    const auto& sent = item.second;
+    return !sent.answered_seq && sent.token == w.token(part) && core::since(sent.at, now) > kPatience;
+  });
+}
+
 }  // namespace
 
 asio::awaitable<bool> Controller::join() {
@@ -222,6 +232,7 @@
         auto& missing = w.owner_missing_since[p];
         if (w.owns(part)) {
           missing = {};
+          if (has_loose_orders(w, part, now)) claims.push_back({part, c.owner, {}});
           for (const auto& label : w.parts.preference(part)) {
             if (label == w.s.label) break;
             auto it = alive_since.find(label);
@@ -276,6 +287,34 @@
                         std::chrono::milliseconds(2000));
 }
 
+asio::awaitable<void> Controller::send(core::MachineId machine, std::vector<wire::Order> orders,
+                                       std::vector<worker::Start> starts) {
+  const auto [endpoint, token, session] = world_.with([&](World& w) {
+    const auto* m = w.fleet.find(machine);
+    if (!m || !m->reported || !w.acting(m->part))
+      return std::tuple(std::string(), std::uint64_t{0}, std::uint64_t{0});
+    for (const auto& s : starts) w.fleet.sent[s] = {w.token(m->part), std::nullopt, core::Steady::now()};
+    return std::tuple(m->endpoint, w.token(m->part), m->session);
+  });
+  const auto at = config::parse_endpoint(endpoint);
+  if (!at) co_return;
+  const auto client = network_.connect(*at, 0);
+  const auto answer = co_await client->call(
+      http::Verb::post, "/do", wire::render_push(token, session, orders), std::chrono::milliseconds(3000));
+  // No answer: the order may be carried out at any later time under this token, so it stays noted.
+  std::optional<std::uint64_t> seq;
+  if (answer.status == 200) {
+    const auto report = wire::parse_report(answer.body);
+    if (const auto* r = std::get_if<wire::Report>(&report)) seq = r->seq;
+  }
+  world_.with([&](World& w) {
+    for (const auto& s : starts) {
+      if (answer.status == 409 || answer.status == 400) w.fleet.sent.erase(s);
+      if (seq) w.fleet.sent[s].answered_seq = seq;
+    }
+  });
+}
+
 asio::awaitable<void> Controller::push_loop() {
   while (true) {
     co_await sleep(0.3);
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -1,6 +1,8 @@
 // Own parts: facts from reports become records, and every round the waiting tasks are ranked and placed.
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -12,13 +14,6 @@
 namespace json = boost::json;
 using state::Outcome;
 
-// One job's change within a transaction.
-struct Edit {
-  std::vector<state::Condition> when;
-  std::vector<state::Change> then;
-  std::vector<worker::Fact> facts;  // settled by it
-};
-
 // Packs edits into transactions within the service's limits: `ops` changes, four times as many conditions.
 // Conditions and changes that several edits share (the part's term, a team's counter) count once.
 struct Batch {
@@ -177,13 +172,19 @@
 asio::awaitable<void> Controller::writer_loop() {
   boost::system::error_code ec;
   core::TimePoint next_usage{};
+  constexpr double kLeastGap = 0.5;
   while (true) {
     writer_wake_.expires_after(core::secs(tuning_.flush_s));
     co_await writer_wake_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_await flush();
     const auto now = core::Steady::now();
-    if (now >= next_round_) {
+    // A round comes early when a job has arrived or room has been freed; never more often than the least gap.
+    const auto version = world_.with([](World& w) { return w.mirror.version(); });
+    if (now >= next_round_ || (version != round_version_ && core::since(last_round_, now) >= kLeastGap)) {
       next_round_ = now + core::secs(tuning_.round_s);
+      round_seconds_ = std::min(tuning_.round_s * 2, core::since(last_round_, now));
+      last_round_ = now;
+      round_version_ = version;
       co_await round();
       co_await move_ranges();
     }
@@ -207,6 +208,8 @@
       if (!current || !w.owns(it->part)) {
         w.fleet.seen.erase({it->job, it->task, it->attempt});
         w.fleet.to_stop.erase({it->job, it->task, it->attempt});
+        if (auto s = w.fleet.sent.find({it->job, it->task, it->attempt}); s != w.fleet.sent.end())
+          if (s->second.answered_seq || s->second.token != w.token(it->part)) w.fleet.sent.erase(s);
         it = w.fleet.facts.erase(it);
         continue;
       }
@@ -323,7 +326,7 @@
         if (!job) continue;
         for (const auto& e : run.entries)
           if (w.fleet.seen.contains({key.first, e.task, e.attempt}))
-            windows.add(job->spec.team, job->spec.need.cpus * tuning_.round_s, wall);
+            windows.add(job->spec.team, job->spec.need.cpus * round_seconds_, wall);
       }
       const auto sum = windows.decayed();
       for (std::size_t i = 0; i < usage.size(); ++i) usage[i] += sum[i];
@@ -470,6 +473,7 @@
         }
         const auto& team = w.names.teams.name(d.team);
         Edit e;
+        for (const auto* pl : placed) e.starts[pl->machine].push_back({d.job, pl->task, attempt});
         e.when.push_back({state::keys::part(part_name), w.token(part)});
         e.when.push_back({state::keys::job(job_name), c.job_stamp});
         e.when.push_back({state::keys::run(job_name, part_name), c.run.stamp});
@@ -514,6 +518,7 @@
     const auto result = co_await commit(std::move(txn));
     if (result.outcome == Outcome::done) {
       own_team_stamps_.insert(result.epoch);
+      send_starts(batch.edits);
       continue;
     }
     spdlog::info("placing refused outcome={} failed={}", static_cast<int>(result.outcome),
@@ -527,6 +532,7 @@
 
 void Controller::start_eviction(const sched::Eviction& e, const sched::Demand& d,
                                 const std::vector<sched::Running>& running, core::TimePoint now) {
+  std::map<core::MachineId, std::vector<wire::Order>> stops;
   world_.with([&](World& w) {
     double longest = 0;
     for (const auto v : e.victims) {
@@ -539,6 +545,12 @@
       spdlog::info("preempt job={} task={} try={} machine={} for={}", w.names.jobs.name(r.job), r.task,
                    r.attempt, w.names.machines.name(r.machine), w.names.jobs.name(d.job));
     }
+    for (const auto v : e.victims) {
+      const auto& r = running[v];
+      const worker::Start start{r.job, r.task, r.attempt};
+      stops[r.machine].push_back(
+          {wire::Order::Kind::stop, w.names.jobs.name(r.job), r.task, r.attempt, w.fleet.to_stop[start]});
+    }
     for (const auto id : e.machines) {
       auto* m = w.fleet.find(id);
       if (!m) continue;
@@ -546,6 +558,23 @@
       m->reserved_until = now + core::secs(longest + 2 * w.s.report_s + 4);
     }
   });
+  for (auto& [machine, orders] : stops)
+    asio::co_spawn(io_, send(machine, std::move(orders), {}), asio::detached);
+}
+
+void Controller::send_starts(const std::vector<const Edit*>& edits) {
+  std::map<core::MachineId, std::vector<worker::Start>> by_machine;
+  for (const auto* e : edits)
+    for (const auto& [machine, starts] : e->starts)
+      by_machine[machine].insert(by_machine[machine].end(), starts.begin(), starts.end());
+  for (auto& [machine, starts] : by_machine) {
+    std::vector<wire::Order> orders;
+    world_.with([&](World& w) {
+      for (const auto& [job, task, attempt] : starts)
+        orders.push_back({wire::Order::Kind::start, w.names.jobs.name(job), task, attempt, 0});
+    });
+    asio::co_spawn(io_, send(machine, std::move(orders), std::move(starts)), asio::detached);
+  }
 }
 
 asio::awaitable<void> Controller::move_ranges() {
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -36,6 +36,7 @@
       const auto id = names_.jobs.intern(rest);
       auto& slot = jobs_[id];
       if (e.stamp <= slot.stamp) return;
+      ++version_;
       if (gone) {
         jobs_.erase(id);
         live_.erase(id);
@@ -55,6 +56,7 @@
       const RunKey key{names_.jobs.intern(job), *part};
       auto& slot = runs_[key];
       if (e.stamp <= slot.stamp) return;
+      ++version_;
       if (gone) {
         runs_.erase(key);
         return;
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -57,6 +57,8 @@
   // Highest epoch seen in any answer: attempts numbered by it rise with every start.
   [[nodiscard]] std::uint64_t newest() const { return newest_; }
 
+  // Moves with every change of a job or of what runs.
+  [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] const std::unordered_map<core::JobId, jobs::JobRecord>& jobs() const { return jobs_; }
   [[nodiscard]] const jobs::JobRecord* job(core::JobId id) const;
   // Jobs that are accepted and not over.
@@ -80,7 +82,7 @@
 
  private:
   jobs::Names& names_;
-  std::uint64_t epoch_ = 0, newest_ = 0;
+  std::uint64_t epoch_ = 0, newest_ = 0, version_ = 0;
   std::unordered_map<core::JobId, jobs::JobRecord> jobs_;
   std::set<core::JobId> live_;
   std::map<RunKey, jobs::RunRecord> runs_;
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -71,6 +71,14 @@
   auto operator<=>(const Fact&) const = default;
 };
 
+// A start order that went straight to the worker.
+struct Sent {
+  std::uint64_t token = 0;
+  // Sequence number of the worker's answer; nothing: it did not answer, and may still carry the order out.
+  std::optional<std::uint64_t> answered_seq;
+  core::TimePoint at{};
+};
+
 class Fleet {
  public:
   Machine& intern(jobs::Names& names, const std::string& name) {
@@ -104,7 +112,8 @@
 
   std::set<Fact> facts;
   std::map<Start, core::TimePoint> seen;  // starts that a report has shown on their machine, and since when
-  std::map<Start, double> to_stop;        // starts to be stopped, with the grace to save
+  std::map<Start, Sent> sent;
+  std::map<Start, double> to_stop;  // starts to be stopped, with the grace to save
 
  private:
   std::map<core::MachineId, Machine> machines_;
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -43,6 +43,13 @@
   }
 }
 
+// Could a start order that went straight to the worker be carried out after this report was made?
+bool may_still_start(const ReportContext& ctx, const Start& start, const wire::Report& r) {
+  const auto it = ctx.fleet.sent.find(start);
+  if (it == ctx.fleet.sent.end() || it->second.token != ctx.token) return false;
+  return !it->second.answered_seq || r.seq <= *it->second.answered_seq;
+}
+
 }  // namespace
 
 bool gang_broken(const jobs::JobRecord& job, const jobs::RunRecord& run, const Fleet& fleet, core::JobId id,
@@ -128,7 +135,7 @@
       const bool unwanted = !live || stop != ctx.fleet.to_stop.end() ||
                             gang_broken(*job, run, ctx.fleet, job_id, part) || run.done.contains(e.task);
       if (!piece) {
-        if (trusted && (unwanted || ctx.fleet.seen.contains(start))) {
+        if (trusted && !may_still_start(ctx, start, r) && (unwanted || ctx.fleet.seen.contains(start))) {
           // Not there, and no order that would start it can be under way: answers to earlier reports are
           // dead.
           out.changed |= ctx.fleet.facts.insert(gone).second;
@@ -150,6 +157,9 @@
     const auto& p = r.pieces[i];
     // No record knows it: it has ended and that is recorded, or an earlier owner's start was given up.
     if (p.state == TaskState::ended) {
+      // Forgotten, a late copy of its start order would start it once more.
+      const auto job = ctx.names.jobs.find(p.job);
+      if (job && may_still_start(ctx, {*job, p.task, p.attempt}, r)) continue;
       out.orders.push_back({Order::Kind::forget, p.job, p.task, p.attempt, 0});
     } else {
       ++m.strangers;
--- a/tests/worker/reports_test.cpp
+++ b/tests/worker/reports_test.cpp
@@ -153,6 +153,32 @@
             Kinds{Order::Kind::forget});
 }
 
+struct SentCase {
+  const char* name;
+  Sent sent;
+  std::size_t facts;
+};
+class SentOrder : public testing::TestWithParam<SentCase> {};
+// Cancelled and absent from report 10: gone, unless an order sent straight to the worker may still start it.
+TEST_P(SentOrder, KeepsTheTaskBooked) {
+  Bed bed;
+  bed.cancel();
+  bed.fleet.sent[{core::JobId{0}, 0, 7}] = GetParam().sent;
+  bed.report(2, 10, 50, {});
+  EXPECT_EQ(bed.fleet.facts.size(), GetParam().facts);
+  // Its end was recorded, but forgetting it would let the late order start it again.
+  bed.set_entries({}, 70);
+  const auto r = bed.report(2, 20, 50, {piece(7, TaskState::ended, Cause::stopped)});
+  EXPECT_EQ(r.orders.empty(), !GetParam().sent.answered_seq && GetParam().sent.token == 50);
+}
+INSTANTIATE_TEST_SUITE_P(Table, SentOrder,
+                         testing::Values(SentCase{"unanswered", {50, std::nullopt, {}}, 0},
+                                         SentCase{
+                                             "unanswered_under_an_older_term", {49, std::nullopt, {}}, 1},
+                                         SentCase{"answered_after_this_report_was_made", {50, 12, {}}, 0},
+                                         SentCase{"answered_before", {50, 9, {}}, 1}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 TEST(Reports, BrokenGangIsStoppedAndNotStarted) {
   Bed bed(true, 2);  // the record holds one of two tasks
   EXPECT_EQ(kinds(bed.report(2, 10, 50, {piece(7, TaskState::waiting)})), Kinds{Order::Kind::stop});
