--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -8,7 +8,7 @@
 
 // A machine of which nothing is certain yet, or that is certain to be useless.
 bool worth_counting(const World& w, const worker::Machine& m, core::TimePoint now) {
-  if (m.sick || m.releasing || m.notice_s || !m.part.valid()) return false;
+  if (m.sick || m.gone || m.releasing || m.notice_s || !m.part.valid()) return false;
   if (w.acting(m.part)) return w.usable(m, now);
   return m.listed && m.status == "running";
 }
@@ -131,9 +131,9 @@
       for (const auto& e : run.entries) named.insert(e.machine);
     for (auto& [id, m] : w.fleet.all()) {
       if (returns.size() >= 50) break;
-      if (!m.part.valid() || !w.acting(m.part)) continue;
+      if (!m.part.valid() || !w.acting(m.part) || m.gone || m.releasing) continue;
       const auto* flavor = w.fleet.flavor(m.type);
-      const double silent = core::since(std::max(m.last_report, m.first_seen), now);
+      const double silent = w.silent_s(m, now);
       const bool in_use = named.contains(id);
       const char* why = nullptr;
       if (m.listed && m.status == "failed") why = "failed";
@@ -169,7 +169,7 @@
       }
       spdlog::info("returned machine={} why={}", r.name, r.why);
       worker::machine_gone(w.mirror, w.fleet, r.id);
-      m->status = "gone";
+      m->gone = true;
       m->reported = false;
     }
   });
@@ -199,7 +199,7 @@
     };
     std::vector<Coming> coming;
     for (const auto& [id, m] : w.fleet.all()) {
-      if (!m.part.valid() || !w.acting(m.part) || m.releasing || m.sick || m.status == "gone") continue;
+      if (!m.part.valid() || !w.acting(m.part) || m.releasing || m.sick || m.gone) continue;
       const auto* flavor = w.fleet.flavor(m.type);
       if (!flavor || m.reported) continue;
       if (core::since(m.first_seen, now) > 4 * flavor->boot_s) continue;
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -230,6 +230,7 @@
         const core::PartId part{p};
         const auto& c = w.mirror.claim(part);
         auto& missing = w.owner_missing_since[p];
+        if (!w.acting(part)) w.acting_since[p] = now;
         if (w.owns(part)) {
           missing = {};
           if (has_loose_orders(w, part, now)) claims.push_back({part, c.owner, {}});
@@ -322,7 +323,7 @@
     std::vector<core::MachineId> behind;
     world_.with([&](World& w) {
       for (auto& [id, m] : w.fleet.all()) {
-        if (!m.part.valid() || !w.acting(m.part) || m.endpoint.empty() || m.releasing) continue;
+        if (!m.part.valid() || !w.acting(m.part) || m.endpoint.empty() || m.releasing || m.gone) continue;
         if (m.reported && m.token >= w.token(m.part)) continue;
         if (!m.reported && m.status == "starting") continue;
         if (core::since(m.last_push, now) < 2.5) continue;
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -20,7 +20,8 @@
       usage(parts.size(),
             ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
       usage_from(parts.size(), 0),
-      owner_missing_since(parts.size()) {
+      owner_missing_since(parts.size()),
+      acting_since(parts.size()) {
   for (const auto& team : s.teams)
     shares.push_back(team.gpus > 0 ? team.gpus : team.cpus > 0 ? team.cpus : 1.0);
 }
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -395,7 +395,8 @@
         d.job = id;
         d.team = job.spec.team;
         d.lane = job.spec.lane;
-        d.guaranteed = guaranteed.contains(id);
+        d.waited_s = wall - job.spec.submitted_s;
+        d.guaranteed = guaranteed.contains(id) && d.waited_s >= w.guarantee_patience_s();
         d.has_reservation = reserved.contains(id);
         d.image = job.spec.image;
         d.image_gb = job.spec.image_gb;
@@ -405,7 +406,6 @@
         d.spot = job.spec.spot;
         d.types = job.spec.types;
         d.zone = job.spec.zone;
-        d.waited_s = wall - job.spec.submitted_s;
         std::uint32_t here = 0;
         bool elsewhere = false;
         w.mirror.each_run(id, [&](core::PartId q, const jobs::RunRecord& r) {
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -52,6 +52,7 @@
   core::TimePoint avoid_until{};
   bool sick = false;
   bool releasing = false;
+  bool gone = false;  // its deletion was answered; the list may show it a little longer
 
   // Room is being made here for this job.
   core::JobId reserved_for;
