--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -126,6 +126,14 @@
   std::vector<Return> returns;
   const auto now = core::Steady::now();
   world_.with([&](World& w) {
+    // A controller that was cut off sees only silent machines, and may have another owner's part in its old
+    // view.
+    if (core::since(w.synced_at, now) > 1.5) return;
+    std::vector<int> heard(w.parts.size()), unheard(w.parts.size());
+    for (const auto& [id, m] : w.fleet.all()) {
+      if (!m.part.valid() || m.gone || !m.listed || m.status != "running") continue;
+      (w.silent_s(m, now) > 3 * w.s.report_s + 2 ? unheard : heard)[m.part.v]++;
+    }
     std::set<core::MachineId> named;
     for (const auto& [key, run] : w.mirror.runs())
       for (const auto& e : run.entries) named.insert(e.machine);
@@ -141,7 +149,8 @@
       else if (in_use && !m.listed && silent > 3 * w.s.report_s + 2 &&
                (m.ever_listed || silent > 3 * w.s.cloud_list_lag_s + 5))
         why = "unlisted";
-      else if (m.listed && m.status == "running" && silent > w.s.lease_s + 15)
+      else if (m.listed && m.status == "running" &&
+               silent > w.s.lease_s + (unheard[m.part.v] > heard[m.part.v] ? 90 : 15))
         why = "silent";
       else if (m.listed && m.status == "starting" && flavor &&
                core::since(m.starting_since, now) > 5 * flavor->boot_s + 30)
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -38,8 +38,8 @@
   std::vector<core::TimePoint> owner_missing_since;
   std::vector<core::TimePoint> acting_since;  // by part; meaningful while acting for it
 
-  // How long the worker has been silent towards this controller. What it told an earlier owner is not known, so
-  // the time starts again with each term: a new owner once returned every machine of its part as silent.
+  // How long the worker has been silent towards this controller. What it told an earlier owner is not known,
+  // so the time starts again with each term: a new owner once returned every machine of its part as silent.
   [[nodiscard]] double silent_s(const worker::Machine& m, core::TimePoint now) const {
     return core::since(std::max({m.last_report, m.first_seen, acting_since.at(m.part.v)}), now);
   }
@@ -64,7 +64,8 @@
 
   // Renews the lanes' profiles from the jobs that live; what they asked for a while ago fades.
   void observe_lanes();
-  // How long a job within its guarantee waits for room that comes free by itself, before others are stopped for it.
+  // How long a job within its guarantee waits for room that comes free by itself, before others are stopped
+  // for it.
   [[nodiscard]] double guarantee_patience_s() const {
     for (const auto& o : s.objectives)
       if (o.kind == "guarantee" && o.within_s > 0) return 0.3 * o.within_s;
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -111,7 +111,7 @@
       r.priority = static_cast<int>(job->spec.priority);
       r.gang = job->spec.gang;
       r.loss_s = job->spec.checkpoint_s > 0 ? job->spec.save_s + 5 : ran;
-      if (ran < kYoung) r.loss_s += 10;
+      if (ran < kYoung) r.loss_s += 20;
       out.push_back(r);
     }
   }
@@ -465,14 +465,15 @@
         jobs::RunRecord next = c.run;
         const auto& job_name = w.names.jobs.name(d.job);
         const auto& part_name = w.names.parts.name(part);
+        Edit e;
         for (const auto* pl : placed) {
           const auto* m = w.fleet.find(pl->machine);
           next.entries.push_back({pl->task, attempt, pl->machine, m->session});
-          spdlog::info("place job={} task={} try={} machine={} part={} term={} weight={:.3f}", job_name,
-                       pl->task, attempt, m->name, part_name, w.token(part), costs[i].weight);
+          e.log.push_back(fmt::format("place job={} task={} try={} machine={} part={} term={} weight={:.3f}",
+                                      job_name, pl->task, attempt, m->name, part_name, w.token(part),
+                                      costs[i].weight));
         }
         const auto& team = w.names.teams.name(d.team);
-        Edit e;
         for (const auto* pl : placed) e.starts[pl->machine].push_back({d.job, pl->task, attempt});
         e.when.push_back({state::keys::part(part_name), w.token(part)});
         e.when.push_back({state::keys::job(job_name), c.job_stamp});
@@ -518,6 +519,8 @@
     const auto result = co_await commit(std::move(txn));
     if (result.outcome == Outcome::done) {
       own_team_stamps_.insert(result.epoch);
+      for (const auto* e : batch.edits)
+        for (const auto& line : e->log) spdlog::info("{}", line);
       send_starts(batch.edits);
       continue;
     }
--- a/src/sched/preempt.cpp
+++ b/src/sched/preempt.cpp
@@ -12,6 +12,9 @@
   std::vector<TeamClaim> claims;
 };
 
+// Work of higher priority is dearer to stop, and a gang brings down all its tasks.
+double cost_of(const Running& r) { return (r.loss_s + (r.gang ? 20 : 5)) * (1 + 3 * r.priority); }
+
 bool may_stop(const Demand& d, const Running& r, const std::vector<TeamClaim>& claims) {
   if (r.job == d.job) return false;
   if (r.priority < d.priority) return true;
@@ -49,7 +52,7 @@
     if (!may_stop(d, running[i], claims)) continue;  // its team has come down to its guarantee
     claims.at(running[i].team.v).used -= running[i].need;
     free += running[i].need;
-    loss += running[i].loss_s + (running[i].gang ? 20 : 5);
+    loss += cost_of(running[i]);
     chosen.push_back(i);
   }
   if (!d.need.fits(free)) return std::nullopt;
