--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -46,6 +46,19 @@
   return used;
 }
 
+bool World::patient(const jobs::JobSpec& spec, double now_s) const {
+  if (!spec.due_s) return false;
+  bool deadline = false;
+  for (const auto& o : s.objectives) {
+    if (o.lane != names.lanes.name(spec.lane)) continue;
+    if (o.kind != "deadline") return false;
+    deadline = true;
+  }
+  // Estimates are often wrong by half; the fetch and the rounds on the way take their time too.
+  const double needs = spec.expect_s * 1.5 + spec.image_gb * 2 + 4 * s.report_s;
+  return deadline && spec.submitted_s + *spec.due_s - now_s > needs;
+}
+
 void World::observe_lanes() {
   constexpr double kFade = 0.98;  // a round
   lanes.resize(names.lanes.size());
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -71,6 +71,8 @@
       if (o.kind == "guarantee" && o.within_s > 0) return 0.3 * o.within_s;
     return 5;
   }
+  // A job of a lane of which only deadlines are asked, with time left to start later and still make it.
+  [[nodiscard]] bool patient(const jobs::JobSpec& spec, double now_s) const;
   [[nodiscard]] core::Resources used_on(core::MachineId id) const;
   [[nodiscard]] std::vector<core::Resources> used_by_team() const;
   // Is the machine up and does its worker obey this controller?
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -397,6 +397,7 @@
         d.lane = job.spec.lane;
         d.waited_s = wall - job.spec.submitted_s;
         d.guaranteed = guaranteed.contains(id) && d.waited_s >= w.guarantee_patience_s();
+        d.patient = w.patient(job.spec, wall);
         d.has_reservation = reserved.contains(id);
         d.image = job.spec.image;
         d.image_gb = job.spec.image_gb;
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -13,6 +13,9 @@
 // Above this a priority's claim goes before the ranking; idle work takes part in the ranking like any other.
 constexpr int kOrdinary = 1;
 
+// What goes before the weight: see "changed or added" in docs/design.md.
+int claim(const Demand& d) { return d.patient ? 0 : std::max(d.priority, kOrdinary); }
+
 double dominant_share(const core::Resources& need, const core::Resources& size) {
   double share = 0;
   if (size.gpus > 0) share = std::max(share, need.gpus / size.gpus);
@@ -93,9 +96,8 @@
   std::vector<std::size_t> order(demands.size());
   std::iota(order.begin(), order.end(), 0);
   std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-    const int pa = std::max(demands[a].priority, kOrdinary);
-    const int pb = std::max(demands[b].priority, kOrdinary);
-    return pa != pb ? pa > pb : costs[a].weight > costs[b].weight;
+    const int ca = claim(demands[a]), cb = claim(demands[b]);
+    return ca != cb ? ca > cb : costs[a].weight > costs[b].weight;
   });
   Plan plan;
   for (const auto index : order) {
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -42,6 +42,7 @@
   double waited_s = 0;
   core::LaneId lane;
   bool guaranteed = false;       // fits its team's guarantee together with the team's earlier unfinished jobs
+  bool patient = false;          // only its deadline counts, and that is still far
   bool has_reservation = false;  // room is being made for it already
 };
 
