--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -69,9 +69,6 @@
     lane.need = spec.need;
     lane.spot = spec.spot;
     lane.types = spec.types;
-    const auto& name = names.lanes.name(spec.lane);
-    lane.prompt = std::any_of(s.objectives.begin(), s.objectives.end(),
-                              [&](const auto& o) { return o.kind == "wait" && o.lane == name; });
     now[spec.lane.v] += spec.tasks - std::min(spec.tasks, mirror.done(id));
   }
   for (std::size_t l = 0; l < lanes.size(); ++l) lanes[l].tasks = std::max(now[l], lanes[l].tasks * kFade);
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -281,7 +281,6 @@
   std::map<core::PartId, std::vector<sched::Running>> running;
   std::vector<sched::TeamClaim> claims;
   std::vector<double> shares;
-  std::vector<sched::LaneProfile> lanes;
   std::vector<std::uint64_t> team_stamps;
   std::uint64_t attempt = 0;
   const auto now = core::Steady::now();
@@ -300,7 +299,7 @@
       team_stamps.push_back(w.mirror.team_stamp(core::TeamId{i}));
 
     w.observe_lanes();
-    lanes = w.lanes;
+    auto lanes = w.lanes;
     for (auto& l : lanes) l.tasks /= static_cast<double>(w.parts.size());
     for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
       const core::PartId part{p};
@@ -453,7 +452,7 @@
       mine_costs.push_back(costs[i]);
       index.push_back(i);
     }
-    const auto plan = sched::place(list, mine, mine_costs, teams, lanes, tuning_.kept_places);
+    const auto plan = sched::place(list, mine, mine_costs, teams);
     std::map<std::size_t, std::vector<const sched::Placement*>> by_demand;
     for (const auto& pl : plan.placements) {
       by_demand[pl.demand].push_back(&pl);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -174,7 +174,6 @@
   need(t.member_ttl_s >= 0.5 && t.member_ttl_s <= 600, "member.ttl_s", t.member_ttl_s, "must be 0.5 to 600");
   need(t.flush_s >= 0.02 && t.flush_s <= 2, "state.flush_s", t.flush_s, "must be 0.02 to 2");
   need(t.sync_s >= 0.05 && t.sync_s <= 2, "state.sync_s", t.sync_s, "must be 0.05 to 2");
-  need(t.kept_places >= 0 && t.kept_places <= 1000, "place.kept", t.kept_places, "must be 0 to 1000");
   need(t.idle_return_s >= 1, "hire.idle_return_s", t.idle_return_s, "must be at least 1");
   need(t.hire_batch >= 1 && t.hire_batch <= 50, "hire.batch", t.hire_batch, "must be 1 to 50");
 }
@@ -212,7 +211,6 @@
   real("member.ttl_s", t.member_ttl_s);
   real("state.flush_s", t.flush_s);
   real("state.sync_s", t.sync_s);
-  real("place.kept", t.kept_places);
   real("hire.idle_return_s", t.idle_return_s);
   whole("hire.batch", t.hire_batch);
   check(t);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -78,7 +78,6 @@
   double member_ttl_s = 3;     // hold on a controller's membership
   double flush_s = 0.25;       // batching of records into writes
   double sync_s = 0.25;        // longest wait between reads of the store's changes
-  double kept_places = 1;      // places in each part that patient work leaves to lanes with a start aim
   double idle_return_s = 600;  // a hired machine idle for this long is returned
   int hire_batch = 4;          // most machines asked for in one rental request
 };
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -53,39 +53,12 @@
   return cost;
 }
 
-// Places that prompt lanes would keep if patient work went to a machine.
-class Reserve {
- public:
-  Reserve(const std::vector<LaneProfile>& lanes, double kept) : lanes_(lanes), kept_(kept) {}
-  // Would the task on this machine leave a prompt lane with fewer places than are kept for it?
-  [[nodiscard]] bool forbids(const std::vector<Node>& nodes, const Demand& d, const Node& n) const {
-    if (!d.patient || kept_ <= 0) return false;
-    for (const auto& lane : lanes_) {
-      if (!lane.prompt || lane.tasks <= 0 || !hosts(n, lane)) continue;
-      auto after = n.free;
-      after -= d.need;
-      const int lost = lane.need.times_in(n.free) - lane.need.times_in(after);
-      if (lost <= 0) continue;
-      int places = -lost;
-      for (const auto& other : nodes)
-        if (hosts(other, lane)) places += lane.need.times_in(other.free);
-      if (places < kept_) return true;
-    }
-    return false;
-  }
-
- private:
-  const std::vector<LaneProfile>& lanes_;
-  double kept_;
-};
-
-Node* best_node(std::vector<Node>& nodes, const Demand& d, const Reserve& reserve) {
+Node* best_node(std::vector<Node>& nodes, const Demand& d) {
   Node* best = nullptr;
   double best_cost = 0;
   for (auto& n : nodes) {
     if (!d.need.fits(n.free) || !allowed(d, n)) continue;
     if (n.reserved_for.valid() && n.reserved_for != d.job) continue;
-    if (reserve.forbids(nodes, d, n)) continue;
     const double cost = cost_here(d, n);
     if (!best || cost < best_cost) best = &n, best_cost = cost;
   }
@@ -119,8 +92,7 @@
 }
 
 Plan place(std::vector<Node> nodes, const std::vector<Demand>& demands, const std::vector<Costs>& costs,
-           std::vector<TeamRoom> teams, const std::vector<LaneProfile>& lanes, double kept) {
-  const Reserve reserve(lanes, kept);
+           std::vector<TeamRoom> teams) {
   std::vector<std::size_t> order(demands.size());
   std::iota(order.begin(), order.end(), 0);
   std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
@@ -138,7 +110,7 @@
       std::vector<Node> trial;
       if (complete) trial = nodes;
       for (std::size_t i = 0; complete && i < d.tasks.size(); ++i) {
-        Node* n = best_node(trial, d, reserve);
+        Node* n = best_node(trial, d);
         if (!n) {
           complete = false;
           break;
@@ -158,7 +130,7 @@
     std::uint32_t placed = 0;
     for (const auto task : d.tasks) {
       if (placed >= d.room_in_zone || !team.allows(d.need)) break;
-      Node* n = best_node(nodes, d, reserve);
+      Node* n = best_node(nodes, d);
       if (!n) break;
       take(*n, d);
       team.used += d.need;
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -52,7 +52,6 @@
   bool spot = false;
   std::optional<std::vector<core::TypeId>> types;
   double tasks = 0;
-  bool prompt = false;  // it has an aim for how soon its tasks start
 };
 
 struct TeamRoom {
@@ -84,8 +83,7 @@
 // True if the machine is of a type, zone and kind that the job allows.
 bool allowed(const Demand& d, const Node& n);
 
-// Patient work leaves `kept` places free for each prompt lane.
 Plan place(std::vector<Node> nodes, const std::vector<Demand>& demands, const std::vector<Costs>& costs,
-           std::vector<TeamRoom> teams, const std::vector<LaneProfile>& lanes = {}, double kept = 0);
+           std::vector<TeamRoom> teams);
 
 }  // namespace finchrun::sched
