--- /dev/null
+++ b/tests/app/cluster_test.cpp
@@ -0,0 +1,173 @@
+// Days of the whole service under a simulated clock; every rule is checked after each step.
+#include "sim/cluster.hpp"
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+namespace finchrun::sim {
+namespace {
+
+struct Quiet {
+  Quiet() { spdlog::set_level(spdlog::level::off); }
+};
+const Quiet quiet;
+
+void load(Cluster& c, int jobs, double over_s) {
+  for (int i = 0; i < jobs; ++i) {
+    c.at(5 + over_s * i / jobs, [&c, i] {
+      const bool gang = i % 3 == 0;
+      c.submit(gang ? 1 + i % 2 : 1 + i % 5, gang, gang ? 4 : 1, 3 + i % 7, i % 2 ? "red" : "blue",
+               i % 4 == 0 ? "high" : "normal");
+    });
+  }
+}
+
+std::size_t finished(const Cluster& c) {
+  std::size_t n = 0;
+  for (const auto& [_, j] : c.jobs) n += j.told_done || j.told_cancelled ? 1 : 0;
+  return n;
+}
+
+void expect_rules(const Cluster& c) {
+  EXPECT_TRUE(c.broken.empty()) << c.broken.size() << " broken, first: " << c.broken.front();
+  EXPECT_GT(c.starts, 0u);
+}
+
+TEST(Cluster, QuietDayFinishesEverything) {
+  Cluster c(1);
+  load(c, 12, 20);
+  c.run(90);
+  expect_rules(c);
+  EXPECT_EQ(finished(c), 12u);
+}
+
+struct Day {
+  const char* name;
+  std::function<void(Cluster&)> trouble;
+};
+class Trouble : public testing::TestWithParam<Day> {};
+TEST_P(Trouble, KeepsTheRulesAndFinishes) {
+  for (const std::uint32_t seed : {7u, 8u}) {
+    Cluster c(seed);
+    load(c, 12, 30);
+    GetParam().trouble(c);
+    c.run(220);
+    expect_rules(c);
+    EXPECT_EQ(finished(c), 12u) << "seed " << seed;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, Trouble,
+    testing::Values(Day{"one_controller_crashes", [](Cluster& c) { c.at(15, [&c] { c.crash(0, 3); }); }},
+                    Day{"all_controllers_crash",
+                        [](Cluster& c) {
+                          for (std::size_t n = 0; n < 3; ++n) c.at(15, [&c, n] { c.crash(n, 3); });
+                        }},
+                    Day{"restart_within_a_moment",
+                        [](Cluster& c) {
+                          for (int i = 0; i < 6; ++i)
+                            c.at(10 + 3 * i, [&c, i] { c.crash(static_cast<std::size_t>(i % 3), 0.2); });
+                        }},
+                    Day{"controller_gone_for_long", [](Cluster& c) { c.at(12, [&c] { c.crash(1, 60); }); }},
+                    Day{"state_outage",
+                        [](Cluster& c) {
+                          c.at(15, [&c] { c.state.outage = true; });
+                          c.at(30, [&c] { c.state.recover(core::Steady::now()); });
+                        }},
+                    Day{"refused_alone",
+                        [](Cluster& c) {
+                          c.at(12, [&c] { c.cut.insert({0, "state"}); });
+                          c.at(45, [&c] { c.cut.clear(); });
+                        }},
+                    Day{"cut_from_workers",
+                        [](Cluster& c) {
+                          c.at(12, [&c] { c.cut.insert({0, "zone a"}); });
+                          c.at(40, [&c] { c.cut.clear(); });
+                        }},
+                    Day{"cloud_outage",
+                        [](Cluster& c) {
+                          c.at(6, [&c] { c.cloud.outage = true; });
+                          c.at(40, [&c] { c.cloud.outage = false; });
+                        }},
+                    Day{"machines_die",
+                        [](Cluster& c) {
+                          c.at(14, [&c] {
+                            int n = 0;
+                            for (auto& [name, w] : c.workers)
+                              if (n++ % 3 == 0) w.dead = true, c.cloud.hosts[name].dead = true;
+                          });
+                        }},
+                    Day{"machines_hang_and_resume",
+                        [](Cluster& c) {
+                          c.at(14, [&c] {
+                            for (auto& [_, w] : c.workers) w.hanging = true;
+                          });
+                          c.at(22, [&c] {
+                            for (auto& [_, w] : c.workers) w.hanging = w.in_flight = false;
+                          });
+                        }},
+                    Day{"messages_lost_and_late",
+                        [](Cluster& c) {
+                          c.faults = {0.02, 0.03, 0.03, 0.3};
+                          c.at(100, [&c] { c.faults = {}; });
+                        }},
+                    Day{"cancellations",
+                        [](Cluster& c) {
+                          c.faults.max_delay_s = 0.2;
+                          for (int i = 0; i < 8; ++i)
+                            c.at(14 + 2 * i, [&c, i] {
+                              auto it = c.jobs.begin();
+                              std::advance(
+                                  it, std::min<std::size_t>(static_cast<std::size_t>(i), c.jobs.size() - 1));
+                              if (it->second.accepted) c.cancel(it->first);
+                            });
+                        }}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Overlapping troubles drawn at random: nothing may break, whatever happens; finishing is not asked.
+class RandomDay : public testing::TestWithParam<std::uint32_t> {};
+TEST_P(RandomDay, KeepsTheRules) {
+  Cluster c(GetParam());
+  std::mt19937 dice(GetParam() * 7919);
+  const auto when = [&] { return 5.0 + dice() % 90; };
+  load(c, 16, 60);
+  c.faults = {0.01, 0.02, 0.02, 0.1};
+  for (int i = 0; i < 4; ++i)
+    c.at(when(), [&c, n = dice() % 3, back = dice() % 2 ? 0.3 : 4.0] { c.crash(n, back); });
+  for (int i = 0; i < 3; ++i) {
+    const char* what[] = {"state", "cloud", "zone a", "zone b"};
+    const std::pair<std::size_t, std::string> side{dice() % 3, what[dice() % 4]};
+    const double from = when();
+    c.at(from, [&c, side] { c.cut.insert(side); });
+    c.at(from + 5 + dice() % 25, [&c, side] { c.cut.erase(side); });
+  }
+  const double outage = when();
+  c.at(outage, [&c] { c.state.outage = true; });
+  c.at(outage + 3 + dice() % 15, [&c] { c.state.recover(core::Steady::now()); });
+  for (int i = 0; i < 4; ++i) {
+    const double from = when();
+    const auto pick = dice();
+    c.at(from, [&c, pick] {
+      if (c.workers.empty()) return;
+      auto it = c.workers.begin();
+      std::advance(it, pick % c.workers.size());
+      it->second.hanging = true;
+      c.at(3 + pick % 20, [&c, name = it->first] {
+        if (auto w = c.workers.find(name); w != c.workers.end())
+          w->second.hanging = w->second.in_flight = false;
+      });
+    });
+    c.at(when(), [&c, pick] {
+      if (c.jobs.empty()) return;
+      auto it = c.jobs.begin();
+      std::advance(it, pick % c.jobs.size());
+      if (it->second.accepted) c.cancel(it->first);
+    });
+  }
+  c.run(160);
+  expect_rules(c);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomDay, testing::Range(100u, 112u));
+
+}  // namespace
+}  // namespace finchrun::sim
--- /dev/null
+++ b/tests/sim/cluster.cpp
@@ -0,0 +1,398 @@
+#include "sim/cluster.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace finchrun::sim {
+namespace {
+
+constexpr double kCancelS = 30, kLeaseS = 10, kReportS = 1, kGangPeerS = 4;
+// Processes that were killed: their coroutines are never resumed, so nothing of them may be destroyed either.
+std::vector<std::shared_ptr<void>>& graveyard() {
+  static auto* dead = new std::vector<std::shared_ptr<void>>;
+  return *dead;
+}
+
+}  // namespace
+
+struct Cluster::Line : http::Transport {
+  Line(Cluster& c, asio::io_context& io, std::size_t node, config::Endpoint to)
+      : cluster(c), io(io), node(node), to(std::move(to)) {}
+  asio::awaitable<Answer> call(http::Verb verb, std::string target, std::string body,
+                               std::chrono::milliseconds limit) override {
+    struct Pending {
+      core::Timer timer;
+      Answer answer;
+    };
+    auto pending = std::make_shared<Pending>(Pending{core::Timer(io, limit), {}});
+    const auto& f = cluster.faults;
+    const bool lost = cluster.chance(f.lose_request) || !cluster.reachable(node, to);
+    const bool late = cluster.chance(f.late_request);
+    const double there = late ? core::Seconds(limit).count() + 20 * cluster.delay() : cluster.delay();
+    if (!lost) {
+      cluster.post(there, [this, pending, verb, target, body, &c = cluster, node = node, to = to] {
+        if (!c.reachable(node, to)) return;
+        auto answer = c.deliver(node, to, verb, target, body);
+        if (c.chance(c.faults.lose_answer) || answer.status == 0) return;
+        c.post(c.delay(), [pending, answer] {
+          pending->answer = answer;
+          pending->timer.cancel();
+        });
+      });
+    }
+    boost::system::error_code ec;
+    co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_return pending->answer;
+  }
+  Cluster& cluster;
+  asio::io_context& io;
+  std::size_t node;
+  config::Endpoint to;
+};
+
+struct Cluster::Net : http::Network {
+  Net(Cluster& c, asio::io_context& io, std::size_t node) : cluster(c), io(io), node(node) {}
+  std::unique_ptr<http::Transport> connect(const config::Endpoint& to, std::size_t) override {
+    return std::make_unique<Line>(cluster, io, node, to);
+  }
+  Cluster& cluster;
+  asio::io_context& io;
+  std::size_t node;
+};
+
+struct Cluster::Node {
+  Node(Cluster& c, std::size_t index, const config::Settings& s, std::uint32_t seed)
+      : net(c, io, index), controller(io, net, s, config::Tuning{}, seed) {
+    controller.start();
+  }
+  asio::io_context io{1};
+  Net net;
+  app::Controller controller;
+};
+
+Cluster::Cluster(std::uint32_t seed, int controllers, int machines_per_zone)
+    : random(seed),
+      now_(core::secs(1000)),
+      nodes_(static_cast<std::size_t>(controllers)),
+      boots_(nodes_.size(), 0) {
+  core::Steady::simulate(now_);
+  settings_.zones = {"a", "b"};
+  settings_.nodes = controllers;
+  settings_.cloud = {"10.2.0.2", 1};
+  settings_.state = {"10.2.0.1", 1};
+  settings_.teams = {{"red", 0, 0, 8, 12}, {"blue", 0, 0, 8, 16}};
+  settings_.report_s = kReportS;
+  settings_.lease_s = kLeaseS;
+  settings_.cancel_s = kCancelS;
+  settings_.gang_peer_s = kGangPeerS;
+  settings_.state_rps = 1000;
+  settings_.state_write_rps = 200;
+  settings_.cloud_rps = 30;
+  settings_.cloud_list_lag_s = 3;
+  cloud.capacity = machines_per_zone + 2;
+  cloud.on_release = [this](const std::string& name) { workers.erase(name); };
+  for (int i = 0; i < machines_per_zone; ++i)
+    for (const char* zone : {"a", "b"}) cloud.add(zone, now_, 0);
+  for (std::size_t n = 0; n < nodes_.size(); ++n) boot(n);
+}
+
+Cluster::~Cluster() {
+  for (auto& n : nodes_)
+    if (n) graveyard().push_back(std::shared_ptr<Node>(std::move(n)));
+  core::Steady::simulate(std::nullopt);
+}
+
+void Cluster::boot(std::size_t node) {
+  auto s = settings_;
+  s.label = "perch-" + std::to_string(node);
+  s.zone = node % 2 == 0 ? "a" : "b";
+  for (std::size_t n = 0; n < nodes_.size(); ++n)
+    if (n != node) s.members.push_back({"perch-" + std::to_string(n), n % 2 == 0 ? "a" : "b", {}});
+  nodes_[node] = std::make_unique<Node>(*this, node, s, static_cast<std::uint32_t>(random()));
+}
+
+void Cluster::crash(std::size_t node, double back_s) {
+  if (!nodes_[node]) return;
+  graveyard().push_back(std::shared_ptr<Node>(std::move(nodes_[node])));
+  at(back_s, [this, node] { boot(node); });
+}
+
+double Cluster::delay() { return std::uniform_real_distribution<double>(0.001, faults.max_delay_s)(random); }
+bool Cluster::chance(double p) { return p > 0 && std::uniform_real_distribution<double>(0, 1)(random) < p; }
+void Cluster::post(double delay_s, std::function<void()> what) {
+  events_.emplace(now_ + core::secs(delay_s), std::move(what));
+}
+void Cluster::at(double seconds, std::function<void()> what) { post(seconds, std::move(what)); }
+
+void Cluster::run(double seconds) {
+  const auto end = now_ + core::secs(seconds);
+  while (now_ < end) step();
+}
+
+void Cluster::step() {
+  now_ += std::chrono::milliseconds(10);
+  core::Steady::simulate(now_);
+  while (!events_.empty() && events_.begin()->first <= now_) {
+    auto what = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    what();
+  }
+  for (auto& n : nodes_) {
+    if (!n) continue;
+    for (int quiet = 0; quiet < 2;) quiet = n->io.poll() > 0 ? 0 : quiet + 1;
+  }
+  for (const auto& [name, host] : cloud.hosts) {
+    if (workers.contains(name) || host.up > now_) continue;
+    Worker w;
+    w.name = name;
+    w.endpoint = host.endpoint;
+    w.type = host.type;
+    w.zone = host.zone;
+    w.spot = host.spot;
+    w.last_answered = w.next_report = now_;
+    workers[name] = w;
+  }
+  for (auto& [_, w] : workers) step_worker(w);
+  check();
+}
+
+void Cluster::step_worker(Worker& w) {
+  if (w.dead || w.hanging) return;
+  w.expire(kLeaseS, now_);
+  for (auto& [key, t] : w.tasks) {
+    auto& job = jobs.at(key.first);
+    if (t.state == "pulling" && t.next <= now_) {
+      t.state = "waiting";
+      start_task(w, t);
+      w.changed = true;
+    }
+    if (t.state == "waiting") {
+      std::size_t here = 0;
+      for (const auto& [_, other] : workers)
+        for (const auto& [_k, o] : other.tasks)
+          here += o.job == t.job && o.attempt == t.attempt && (o.state == "waiting" || o.state == "running")
+                      ? 1
+                      : 0;
+      if (!job.gang || here == job.tasks) {
+        t.state = "running";
+        t.next = now_ + core::secs(job.done.contains(key.second) ? 0 : job.run_s);
+        w.changed = true;
+      }
+    } else if (t.state == "running" && t.next <= now_) {
+      t.state = "ended";
+      t.cause = "done";
+      job.done.insert(key.second);
+      if (job.gang)
+        for (std::uint32_t i = 0; i < job.tasks; ++i) job.done.insert(i);
+      w.changed = true;
+    } else if (t.state == "flushing" && t.next <= now_) {
+      t.state = "ended";
+      t.cause = "halted";
+      t.saved = true;
+      w.changed = true;
+    }
+  }
+  if (w.in_flight || w.next_report > now_) return;
+  send_report(w);
+}
+
+void Cluster::start_task(Worker& w, Task& t) {
+  ++starts;
+  for (const auto& [name, other] : workers)
+    for (const auto& [_, o] : other.tasks)
+      if (&o != &t && o.job == t.job && o.number == t.number && o.on_machine() && name != w.name)
+        broken.push_back("ran_twice " + t.job + "/" + std::to_string(t.number));
+  const auto& job = jobs.at(t.job);
+  if (const auto* hall = job.spec.if_contains("hall");
+      hall && hall->is_string() && hall->as_string() != w.zone)
+    broken.push_back("wrong_place " + t.job);
+  if (!job.spec.at("together").as_bool()) return;
+  for (const auto& [_, other] : workers)
+    for (const auto& [_k, o] : other.tasks)
+      if (o.job == t.job && o.on_machine() && other.zone != w.zone) broken.push_back("wrong_place " + t.job);
+}
+
+void Cluster::send_report(Worker& w) {
+  w.in_flight = true;
+  w.changed = false;
+  const auto sent = now_;
+  const auto session = w.session;
+  const std::string name = w.name;
+  http::Request request{"POST", "/hello", json::serialize(w.report())};
+  const bool blocked = cut.contains({w.node, "zone " + w.zone});
+  auto done = [this, name, sent, session](std::optional<http::Response> r) {
+    auto it = workers.find(name);
+    if (it == workers.end() || it->second.dead || it->second.hanging) return;
+    Worker& w = it->second;
+    w.in_flight = false;
+    w.next_report = now_ + core::secs(kReportS);
+    if (r && r->status == 200) {
+      const auto o = json::parse(r->body).as_object();
+      const auto token = o.at("baton").to_number<std::uint64_t>();
+      if (token < w.token || session != w.session) return;
+      w.token = token;
+      w.last_answered = sent;
+      w.execute(o.at("orders").as_array(), jobs, now_);
+      if (w.changed) w.next_report = now_ + core::secs(0.5);
+      return;
+    }
+    if (r && r->status == 421) {
+      const auto o = json::parse(r->body).as_object();
+      if (const auto* to = o.if_contains("foreman")) {
+        const auto node = static_cast<std::size_t>(to->as_string().back() - '0');
+        if (node != w.node) {
+          w.node = node;
+          w.next_report = now_ + core::secs(0.1);
+          return;
+        }
+      }
+    }
+    w.node = (w.node + 1) % nodes_.size();
+  };
+  if (blocked) {
+    post(4, [done] { done(std::nullopt); });
+    return;
+  }
+  ask(w.node, std::move(request), std::move(done), 4);
+}
+
+void Cluster::ask(std::size_t node, http::Request request,
+                  std::function<void(std::optional<http::Response>)> done, double limit_s) {
+  auto finished = std::make_shared<bool>(false);
+  auto finish = [finished, done = std::move(done)](std::optional<http::Response> r) {
+    if (*finished) return;
+    *finished = true;
+    done(std::move(r));
+  };
+  post(limit_s, [finish] { finish(std::nullopt); });
+  if (chance(faults.lose_request)) return;
+  const double there = chance(faults.late_request) ? limit_s + 20 * delay() : delay();
+  post(there, [this, node, finish, request = std::move(request)]() mutable {
+    if (!nodes_[node]) {
+      finish(std::nullopt);
+      return;
+    }
+    asio::co_spawn(nodes_[node]->io, nodes_[node]->controller.handle(std::move(request)),
+                   [this, finish](std::exception_ptr, http::Response r) {
+                     if (chance(faults.lose_answer)) return;
+                     post(delay(), [finish, r = std::move(r)] { finish(r); });
+                   });
+  });
+}
+
+bool Cluster::reachable(std::size_t node, const config::Endpoint& to) const {
+  if (to.host == "10.2.0.1") return !cut.contains({node, "state"});
+  if (to.host == "10.2.0.2") return !cut.contains({node, "cloud"});
+  for (const auto& [_, w] : workers)
+    if (w.endpoint == to.text()) return !cut.contains({node, "zone " + w.zone});
+  return true;
+}
+
+Answer Cluster::deliver(std::size_t, const config::Endpoint& to, http::Verb verb, const std::string& target,
+                        const std::string& body) {
+  if (to.host == "10.2.0.1") return state.handle(verb, target, body, now_);
+  if (to.host == "10.2.0.2") return cloud.handle(verb, target, body, now_);
+  for (auto& [_, w] : workers)
+    if (w.endpoint == to.text() && !w.dead && !w.hanging) return w.direct(body, jobs, now_);
+  return {};
+}
+
+void Cluster::submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
+                     const std::string& priority) {
+  char id[24];
+  std::snprintf(id, sizeof id, "req-%06d", next_job_++);
+  JobTruth truth;
+  truth.tasks = static_cast<std::uint32_t>(tasks);
+  truth.gang = gang;
+  truth.run_s = run_s;
+  truth.team = team;
+  truth.gpus = gpus;
+  truth.spec = {
+      {"nameId", id},        {"lane", "work"},   {"crew", team},     {"shape", gang ? "ensemble" : "array"},
+      {"urgency", priority}, {"pieces", tasks},  {"vcpus", gpus},    {"gpus", gpus},
+      {"ramGb", gpus},       {"plate", "img"},   {"imageGb", 1.0},   {"together", gang},
+      {"scatter", false},    {"loaners", false}, {"expectS", run_s}, {"snapshotS", 5.0},
+      {"flushS", 1.0}};
+  jobs[id] = truth;
+  user(id, 0);
+}
+
+void Cluster::user(const std::string& id, int tries) {
+  if (tries > 40) return;
+  const auto node = random() % nodes_.size();
+  ask(
+      node, {"POST", "/submissions", json::serialize(jobs[id].spec)},
+      [this, id, tries](std::optional<http::Response> r) {
+        auto& job = jobs[id];
+        if (r && (r->status == 201 || r->status == 200)) {
+          job.accepted = true;
+          poll(id);
+          return;
+        }
+        if (r && (r->status == 400 || r->status == 422)) {
+          broken.push_back("refused for good " + id + " " + r->body);
+          return;
+        }
+        post(1, [this, id, tries] { user(id, tries + 1); });
+      },
+      5);
+}
+
+void Cluster::poll(const std::string& id) {
+  ask(
+      random() % nodes_.size(), {"GET", "/submissions/" + id, ""},
+      [this, id](std::optional<http::Response> r) {
+        auto& job = jobs[id];
+        if (r && r->status == 404) broken.push_back("forgotten " + id);
+        if (r && r->status == 200) {
+          const auto status = std::string(json::parse(r->body).at("status").as_string());
+          if (status == "done" && job.done.size() < job.tasks) broken.push_back("not_done " + id);
+          if (job.told_done && status != "done") broken.push_back("went_back " + id + " to " + status);
+          if (job.told_cancelled && status != "cancelled")
+            broken.push_back("went_back " + id + " to " + status);
+          if (status == "cancelled" && !job.asked_cancel) broken.push_back("went_back " + id + " uncalled");
+          if (status == "done") job.told_done = true;
+        }
+        post(2, [this, id] { poll(id); });
+      },
+      2);
+}
+
+void Cluster::cancel(const std::string& id) {
+  auto& job = jobs.at(id);
+  job.asked_cancel = true;
+  ask(
+      random() % nodes_.size(), {"POST", "/submissions/" + id + "/abort", ""},
+      [this, id](std::optional<http::Response> r) {
+        auto& job = jobs[id];
+        if (r && r->status == 200) {
+          const auto status = json::parse(r->body).at("status").as_string();
+          if (status == "cancelled" && !job.told_cancelled) job.told_cancelled = now_;
+          return;
+        }
+        if (r && r->status == 404 && !job.accepted) return;
+        if (r && r->status == 404) broken.push_back("forgotten " + id);
+        post(1, [this, id] { cancel(id); });
+      },
+      5);
+}
+
+void Cluster::check() {
+  std::map<std::string, double> used;
+  for (const auto& [_, w] : workers) {
+    if (w.dead) continue;
+    for (const auto& [key, t] : w.tasks) {
+      if (!t.on_machine()) continue;
+      const auto& job = jobs.at(key.first);
+      used[job.team] += job.gpus;
+      if (job.told_cancelled && core::since(*job.told_cancelled, now_) > kCancelS)
+        broken.push_back("ran_cancelled " + key.first);
+    }
+  }
+  for (const auto& team : settings_.teams)
+    if (used[team.name] > team.gpus_max + 1e-9) broken.push_back("quota " + team.name);
+}
+
+}  // namespace finchrun::sim
--- /dev/null
+++ b/tests/sim/cluster.hpp
@@ -0,0 +1,78 @@
+// A deployment in one process under a simulated clock: real controllers, stand-ins for all else, a network
+// that delays, loses, repeats and delivers late; and a check of the protocol's rules after every step.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <random>
+
+#include "app/controller.hpp"
+#include "sim/services.hpp"
+
+namespace finchrun::sim {
+
+struct Faults {
+  double lose_request = 0;  // never arrives; the caller waits in vain
+  double lose_answer = 0;   // carried out, the answer lost
+  double late_request = 0;  // the caller has given up by the time it is carried out
+  double max_delay_s = 0.02;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(std::uint32_t seed, int controllers = 3, int machines_per_zone = 3);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  void run(double seconds);
+  void at(double seconds_from_now, std::function<void()> what);
+  void crash(std::size_t node, double back_s);
+  void submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
+              const std::string& priority);
+  void cancel(const std::string& id);
+
+  // Every broken rule, in words.
+  std::vector<std::string> broken;
+  Faults faults;
+  StateService state;
+  CloudService cloud;
+  std::map<std::string, JobTruth> jobs;
+  std::map<std::string, Worker> workers;
+  std::set<std::pair<std::size_t, std::string>>
+      cut;  // node can't reach (and isn't reached by) "state", "cloud", zone
+  std::size_t starts = 0;
+  std::mt19937 random;
+
+ private:
+  struct Node;
+  struct Line;
+  struct Net;
+  friend struct Line;
+
+  void post(double delay_s, std::function<void()> what);
+  double delay();
+  bool chance(double p);
+  void boot(std::size_t node);
+  void step();
+  void step_worker(Worker& w);
+  void send_report(Worker& w);
+  void start_task(Worker& w, Task& t);
+  void user(const std::string& id, int tries);
+  void poll(const std::string& id);
+  void ask(std::size_t node, http::Request request, std::function<void(std::optional<http::Response>)> done,
+           double limit_s);
+  Answer deliver(std::size_t node, const config::Endpoint& to, http::Verb verb, const std::string& target,
+                 const std::string& body);
+  [[nodiscard]] bool reachable(std::size_t node, const config::Endpoint& to) const;
+  void check();
+
+  config::Settings settings_;
+  TimePoint now_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::uint32_t> boots_;
+  int next_job_ = 0;
+};
+
+}  // namespace finchrun::sim
--- /dev/null
+++ b/tests/sim/services.cpp
@@ -0,0 +1,253 @@
+#include "sim/services.hpp"
+
+#include <algorithm>
+
+namespace finchrun::sim {
+namespace {
+
+std::uint64_t whole(const json::value& v) { return v.to_number<std::uint64_t>(); }
+Answer reply(int status, const json::object& o) { return {status, json::serialize(o)}; }
+
+std::string query(const std::string& target, const std::string& key) {
+  for (const char* lead : {"?", "&"}) {
+    const auto at = target.find(lead + key + "=");
+    if (at == std::string::npos) continue;
+    const auto from = at + key.size() + 2;
+    return target.substr(from, target.find('&', from) - from);
+  }
+  return {};
+}
+
+}  // namespace
+
+void StateService::expire(TimePoint now) {
+  for (auto it = holds_.begin(); it != holds_.end();) {
+    if (it->second.ends > now) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, item] : items_)
+      if (item.hold == it->first) gone.push_back(key);
+    if (!gone.empty()) ++epoch_;
+    for (const auto& key : gone) {
+      items_.erase(key);
+      log_.push_back({epoch_, key, std::nullopt});
+    }
+    it = holds_.erase(it);
+  }
+}
+
+void StateService::recover(TimePoint now) {
+  outage = false;
+  for (auto& [_, h] : holds_) h.ends = now + core::secs(h.ttl_s);
+}
+
+Answer StateService::commit(const json::object& o) {
+  json::array failed;
+  for (const auto& c : o.at("when").as_array()) {
+    const std::string key(c.at("k").as_string());
+    const auto it = items_.find(key);
+    if ((it == items_.end() ? 0 : it->second.stamp) != whole(c.at("stamp"))) failed.emplace_back(key);
+  }
+  if (!failed.empty()) return reply(409, {{"failed", failed}, {"epoch", epoch_}});
+  const auto& then = o.at("then").as_array();
+  if (then.size() > 16) return reply(400, {{"error", "too many changes"}});
+  for (const auto& c : then)
+    if (const auto* hold = c.as_object().if_contains("hold"); hold && !holds_.contains(whole(*hold)))
+      return reply(400, {{"error", "no such lease"}});
+  if (!then.empty()) ++epoch_;
+  for (const auto& c : then) {
+    if (const auto* key = c.as_object().if_contains("set")) {
+      const auto* hold = c.as_object().if_contains("hold");
+      if (json::serialize(c.at("data")).size() > 8192) return reply(400, {{"error", "value too large"}});
+      items_[std::string(key->as_string())] = {c.at("data"), epoch_, hold ? whole(*hold) : 0};
+      log_.push_back({epoch_, std::string(key->as_string()), c.at("data")});
+    } else {
+      items_.erase(std::string(c.at("delete").as_string()));
+      log_.push_back({epoch_, std::string(c.at("delete").as_string()), std::nullopt});
+    }
+  }
+  while (log_.size() > 400) log_.pop_front();
+  return reply(200, {{"epoch", epoch_}});
+}
+
+Answer StateService::handle(http::Verb verb, const std::string& target, const std::string& body,
+                            TimePoint now) {
+  if (outage) return {503, "{}"};
+  expire(now);
+  if (target == "/commit") return commit(json::parse(body).as_object());
+  if (target.starts_with("/follow")) {
+    const auto from = std::stoull(query(target, "from"));
+    if (!log_.empty() && log_.size() >= 400 && from + 1 < log_.front().stamp) return {410, "{}"};
+    json::array events;
+    for (const auto& e : log_) {
+      if (e.stamp <= from) continue;
+      if (e.value) {
+        events.push_back(json::object{{"set", e.key}, {"data", *e.value}, {"stamp", e.stamp}});
+      } else {
+        events.push_back(json::object{{"delete", e.key}, {"stamp", e.stamp}});
+      }
+    }
+    return reply(200, {{"epoch", epoch_}, {"events", events}});
+  }
+  if (target.starts_with("/store?")) {
+    const auto after = query(target, "from");
+    const auto limit = std::stoul(query(target, "limit"));
+    json::array items;
+    bool more = false;
+    for (auto it = items_.upper_bound(after); it != items_.end(); ++it) {
+      if (items.size() == limit) {
+        more = true;
+        break;
+      }
+      items.push_back(
+          json::object{{"k", it->first}, {"data", it->second.value}, {"stamp", it->second.stamp}});
+    }
+    return reply(200, {{"items", items}, {"hasNext", more}, {"epoch", epoch_}});
+  }
+  if (target == "/grants") {
+    const double ttl = json::parse(body).at("ttlMs").to_number<double>() / 1000;
+    holds_[next_hold_] = {now + core::secs(ttl), ttl};
+    return reply(200, {{"hold", next_hold_++}});
+  }
+  if (target.starts_with("/grants/") && verb == http::Verb::post) {
+    auto it = holds_.find(std::stoull(target.substr(8)));
+    if (it == holds_.end()) return {404, "{}"};
+    it->second.ends = now + core::secs(it->second.ttl_s);
+    return {200, "{}"};
+  }
+  return {400, "{}"};
+}
+
+json::object Worker::report() {
+  json::array pieces;
+  for (const auto& [key, t] : tasks) {
+    json::object p{
+        {"piece", t.job + "/" + std::to_string(t.number)}, {"try", t.attempt}, {"status", t.state}};
+    if (t.state == "ended") {
+      p["cause"] = t.cause;
+      p["stored"] = t.saved;
+    }
+    pieces.push_back(p);
+  }
+  return {{"perch", name},       {"endpoint", endpoint}, {"rack", type},  {"hall", zone},
+          {"loaners", spot},     {"stint", session},     {"tick", ++seq}, {"baton", token},
+          {"warningS", nullptr}, {"pieces", pieces}};
+}
+
+void Worker::execute(const json::array& orders, std::map<std::string, JobTruth>& jobs, TimePoint now) {
+  for (const auto& o : orders) {
+    const std::string piece(o.at("piece").as_string());
+    const auto slash = piece.rfind('/');
+    const std::pair key{piece.substr(0, slash),
+                        static_cast<std::uint32_t>(std::stoul(piece.substr(slash + 1)))};
+    const auto attempt = whole(o.at("try"));
+    const auto& verb = o.at("verb").as_string();
+    auto it = tasks.find(key);
+    if (verb == "run") {
+      if (it != tasks.end() && it->second.attempt == attempt) continue;
+      if (it != tasks.end() && it->second.state != "ended") continue;  // in_use
+      Task t{key.first, key.second, attempt, "pulling", "", false, {}, 0};
+      t.next = now + core::secs(jobs.at(key.first).fetch_s);
+      tasks[key] = t;
+      changed = true;
+    } else if (it == tasks.end() || it->second.attempt != attempt) {
+      continue;
+    } else if (verb == "kill") {
+      if (it->second.state == "ended") continue;
+      const double grace = o.at("leewayS").to_number<double>();
+      const double save = jobs.at(key.first).save_s;
+      if (it->second.state == "running" && grace >= save) {
+        it->second.state = "flushing";
+        it->second.next = now + core::secs(save);
+      } else if (it->second.state != "flushing" || grace <= 0) {
+        it->second.state = "ended";
+        it->second.cause = "halted";
+      }
+      changed = true;
+    } else if (verb == "reap" && it->second.state == "ended") {
+      tasks.erase(it);
+    }
+  }
+}
+
+Answer Worker::direct(const std::string& body, std::map<std::string, JobTruth>& jobs, TimePoint now) {
+  const auto o = json::parse(body).as_object();
+  const auto offered = whole(o.at("baton"));
+  if (offered < token) return reply(409, report());
+  if (offered > token) changed = true;
+  token = offered;
+  if (whole(o.at("stint")) != session) return reply(409, report());
+  execute(o.at("orders").as_array(), jobs, now);
+  return reply(200, report());
+}
+
+void Worker::expire(double lease_s, TimePoint now) {
+  if (core::since(last_answered, now) <= lease_s) return;
+  tasks.clear();
+  ++session;
+  last_answered = now;
+  changed = true;
+}
+
+std::string CloudService::add(const std::string& zone, TimePoint now, double boot_s) {
+  char name[32];
+  std::snprintf(name, sizeof name, "host-%06d", next_);
+  const std::string endpoint = "10.1.0." + std::to_string(next_ + 1) + ":9000";
+  hosts[name] = {name, endpoint, "g4", zone, false, now, now + core::secs(boot_s), false};
+  ++next_;
+  return name;
+}
+
+json::object CloudService::list(TimePoint now) {
+  json::array out;
+  for (const auto& [name, h] : hosts) {
+    const char* status = h.up > now ? "starting" : h.dead ? "failed" : "running";
+    out.push_back(json::object{{"nameId", name},
+                               {"endpoint", h.endpoint},
+                               {"rack", h.type},
+                               {"hall", h.zone},
+                               {"loaners", h.spot},
+                               {"status", status},
+                               {"heldS", core::since(h.rented, now)}});
+  }
+  return {{"perches", out}, {"hasNext", false}};
+}
+
+Answer CloudService::handle(http::Verb verb, const std::string& target, const std::string& body,
+                            TimePoint now) {
+  if (outage) return {503, R"({"error":"trouble"})"};
+  if (target == "/flavors")
+    return {200, R"({"racks":[{"name":"g4","vcpus":32,"gpus":4,"ramGb":256,"cacheGb":100,"pullGbPerS":1.0,
+      "rate":10.0,"spotPrice":4.0,"readyS":5,"halls":["a","b"]}]})"};
+  if (target == "/hosts/release") {
+    const auto request = json::parse(body);
+    for (const auto& n : request.at("perches").as_array()) {
+      const std::string name(n.as_string());
+      hosts.erase(name);
+      on_release(name);
+    }
+    return {200, "{}"};
+  }
+  if (verb == http::Verb::post) {
+    const auto o = json::parse(body).as_object();
+    auto& names = answered_[std::string(o.at("hire").as_string())];
+    const std::string zone(o.at("hall").as_string());
+    const auto in_zone =
+        std::count_if(hosts.begin(), hosts.end(), [&](const auto& h) { return h.second.zone == zone; });
+    if (names.empty()) {
+      if (in_zone >= capacity || o.at("loaners").as_bool()) return {503, R"({"error":"no capacity"})"};
+      names.push_back(add(zone, now, 5));
+    }
+    json::array out;
+    for (const auto& n : names) out.emplace_back(n);
+    return reply(200, {{"perches", out}});
+  }
+  // The list lags by three seconds.
+  lists_.emplace_back(now, list(now));
+  while (lists_.size() > 1 && lists_[1].first + core::secs(3) <= now) lists_.pop_front();
+  return reply(200, lists_.front().second);
+}
+
+}  // namespace finchrun::sim
--- /dev/null
+++ b/tests/sim/services.hpp
@@ -0,0 +1,123 @@
+// Stand-ins for the state service, the cloud and the workers, written from the protocol. They speak its
+// messages, so the controllers under test run their real clients.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "http/transport.hpp"
+
+namespace finchrun::sim {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using core::TimePoint;
+using http::Answer;
+
+class StateService {
+ public:
+  Answer handle(http::Verb verb, const std::string& target, const std::string& body, TimePoint now);
+  bool outage = false;
+  // Outage over: every hold has its full time again.
+  void recover(TimePoint now);
+
+ private:
+  struct Item {
+    json::value value;
+    std::uint64_t stamp = 0, hold = 0;
+  };
+  struct Hold {
+    TimePoint ends;
+    double ttl_s = 0;
+  };
+  struct Logged {
+    std::uint64_t stamp;
+    std::string key;
+    std::optional<json::value> value;
+  };
+  void expire(TimePoint now);
+  Answer commit(const json::object& o);
+  std::uint64_t epoch_ = 0, next_hold_ = 1;
+  std::map<std::string, Item> items_;
+  std::map<std::uint64_t, Hold> holds_;
+  std::deque<Logged> log_;
+};
+
+struct Task {
+  std::string job;
+  std::uint32_t number = 0;
+  std::uint64_t attempt = 0;
+  std::string state = "pulling";  // pulling, waiting, running, flushing, ended
+  std::string cause;
+  bool saved = false;
+  TimePoint next{};  // when the state changes by itself
+  double progress_at_start = 0;
+  [[nodiscard]] bool on_machine() const {
+    return state == "waiting" || state == "running" || state == "flushing";
+  }
+};
+
+struct JobTruth {
+  json::object spec;
+  std::uint32_t tasks = 1;
+  bool gang = false;
+  double run_s = 5, fetch_s = 1, save_s = 1;
+  std::string team;
+  double gpus = 0;
+  std::set<std::uint32_t> done;
+  bool accepted = false, told_done = false, asked_cancel = false;
+  std::optional<TimePoint> told_cancelled;
+};
+
+class Worker {
+ public:
+  std::string name, endpoint, type, zone;
+  bool spot = false;
+  bool dead = false, hanging = false;
+  std::uint64_t session = 1, seq = 0, token = 0;
+  TimePoint last_answered{};  // when the last answered report was sent
+  std::map<std::pair<std::string, std::uint32_t>, Task> tasks;
+  std::size_t node = 0;  // which controller it reports to
+  bool in_flight = false;
+  TimePoint next_report{};
+  bool changed = false;
+
+  json::object report();
+  // Executes orders; `jobs` are what users have submitted.
+  void execute(const json::array& orders, std::map<std::string, JobTruth>& jobs, TimePoint now);
+  Answer direct(const std::string& body, std::map<std::string, JobTruth>& jobs, TimePoint now);
+  void expire(double lease_s, TimePoint now);
+};
+
+class CloudService {
+ public:
+  Answer handle(http::Verb verb, const std::string& target, const std::string& body, TimePoint now);
+  struct Host {
+    std::string name, endpoint, type, zone;
+    bool spot = false;
+    TimePoint rented{}, up{};
+    bool dead = false;
+  };
+  std::map<std::string, Host> hosts;
+  std::function<void(const std::string&)> on_release;
+  bool outage = false;
+  int capacity = 4;  // per zone
+  std::string add(const std::string& zone, TimePoint now, double boot_s);
+
+ private:
+  std::map<std::string, std::vector<std::string>> answered_;
+  std::deque<std::pair<TimePoint, json::object>> lists_;
+  json::object list(TimePoint now);
+  int next_ = 0;
+};
+
+}  // namespace finchrun::sim
