--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -23,12 +23,15 @@
 }  // namespace
 
 Controller::Controller(asio::io_context& io, http::Network& network, const config::Settings& s,
-                       const config::Tuning& t, std::uint32_t seed)
+                       const config::Tuning& t, std::uint32_t seed,
+                       std::vector<std::unique_ptr<peer::Link>> links)
     : io_(io),
       network_(network),
       settings_(s),
       tuning_(t),
-      store_(network, s),
+      links_(std::move(links)),
+      member_news_(links_.size()),
+      store_(network, s, detour()),
       cloud_(network, s),
       world_(s, t),
       sync_wake_(io),
@@ -42,9 +45,16 @@
                      settings_.listen, [this](http::Request r) { return handle(std::move(r)); },
                      std::max(16, settings_.max_sockets - reserve)),
                  ended);
+  asio::co_spawn(
+      io_,
+      peer::serve(
+          settings_.peer_listen, [this](std::string frame) { return handle_peer(std::move(frame)); },
+          20 * static_cast<int>(settings_.members.size() + 1)),
+      ended);
 }
 
 void Controller::start() {
+  if (!links_.empty()) asio::co_spawn(io_, peer_loop(), ended);
   asio::co_spawn(io_, member_loop(), ended);
   asio::co_spawn(io_, sync_loop(), ended);
   asio::co_spawn(io_, claim_loop(), ended);
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -11,6 +11,7 @@
 #include "core/locked.hpp"
 #include "http/server.hpp"
 #include "http/transport.hpp"
+#include "peer/link.hpp"
 #include "sched/deal.hpp"
 #include "sched/place.hpp"
 #include "sched/preempt.hpp"
@@ -32,7 +33,7 @@
 class Controller {
  public:
   Controller(asio::io_context& io, http::Network& network, const config::Settings& s, const config::Tuning& t,
-             std::uint32_t seed);
+             std::uint32_t seed, std::vector<std::unique_ptr<peer::Link>> links);
   // Starts the loops; they run until the context ends.
   void start();
   // Binds the address of users and workers.
@@ -40,6 +41,8 @@
 
   // The users', workers' and health checks' interface.
   asio::awaitable<http::Response> handle(http::Request request);
+  // The other controllers' interface: a frame in, a frame out.
+  asio::awaitable<std::string> handle_peer(std::string frame);
 
  private:
   // State service: membership and the mirror.
@@ -77,11 +80,20 @@
   asio::awaitable<void> return_machines();
   asio::awaitable<void> hire();
 
+  // The other controllers.
+  class Detour;
+  std::unique_ptr<http::Transport> detour();
+  [[nodiscard]] std::optional<std::size_t> member_with_news() const;
+  asio::awaitable<void> peer_loop();
+  asio::awaitable<void> ping(std::size_t member);
+  std::optional<std::size_t> relay_to(const std::string& body);
+
   // Users.
   asio::awaitable<http::Response> submit(const std::string& body);
   asio::awaitable<http::Response> query(const std::string& id);
   asio::awaitable<http::Response> abort(const std::string& id);
-  http::Response hello(const std::string& body);
+  asio::awaitable<http::Response> hello(std::string body);
+  http::Response report(const std::string& body);
   http::Response status_of(core::JobId id);
 
   asio::awaitable<void> sleep(double seconds);
@@ -91,6 +103,8 @@
   http::Network& network_;
   const config::Settings settings_;
   const config::Tuning tuning_;
+  std::vector<std::unique_ptr<peer::Link>> links_;  // by member
+  std::vector<core::TimePoint> member_news_;  // how new each member's view of the state service is, at least
   state::Store store_;
   cloud::Cloud cloud_;
   core::Locked<World> world_;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -44,7 +44,10 @@
   try {
     boost::asio::io_context io{1};
     http::TcpNetwork network(io.get_executor());
-    app::Controller controller(io, network, settings, tuning, std::random_device{}());
+    std::vector<std::unique_ptr<peer::Link>> links;
+    for (const auto& m : settings.members)
+      links.push_back(std::make_unique<peer::TcpLink>(io.get_executor(), m.peer));
+    app::Controller controller(io, network, settings, tuning, std::random_device{}(), std::move(links));
     controller.listen();
     controller.start();
     spdlog::info("started label={} zone={} listen={}", settings.label, settings.zone, settings.listen.text());
--- /dev/null
+++ b/src/app/peer_loop.cpp
@@ -0,0 +1,135 @@
+// The other controllers: who of them has news, relayed reports, and the way round a state service that
+// refuses us alone.
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "app/controller.hpp"
+#include "peer/messages.hpp"
+
+namespace finchrun::app {
+namespace {
+
+constexpr double kFreshNews = 2.0;  // a member whose news is older is no help
+constexpr double kPingEvery = 1.0;
+
+// Frames are made outside the coroutines: GCC 12 destroys aggregates twice that are temporaries of a
+// co_await.
+std::string ping_frame(const std::string& label, double age) { return peer::encode(peer::Ping{label, age}); }
+std::string reply_frame(int status, const std::string& body) {
+  return peer::encode(peer::Reply{status, body});
+}
+std::string relay_frame(const std::string& report) { return peer::encode(peer::Relay{report}); }
+std::string call_frame(bool post, const std::string& target, const std::string& body) {
+  return peer::encode(peer::StateCall{post, target, body});
+}
+http::Answer read_reply(const std::optional<std::string>& frame) {
+  const auto message = frame ? peer::decode(*frame) : std::nullopt;
+  const auto* reply = message ? std::get_if<peer::Reply>(&*message) : nullptr;
+  return reply ? http::Answer{reply->status, reply->body} : http::Answer{};
+}
+
+}  // namespace
+
+// Sends the state client's requests through whichever member has fresh news.
+class Controller::Detour : public http::Transport {
+ public:
+  explicit Detour(Controller& c) : controller_(c) {}
+  asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body,
+                                     std::chrono::milliseconds limit) override {
+    const auto member = controller_.member_with_news();
+    if (!member) {
+      http::Answer nobody;
+      nobody.status = 503;
+      co_return nobody;
+    }
+    std::string request = call_frame(verb == http::Verb::post, target, body);
+    const auto frame = co_await controller_.links_[*member]->call(std::move(request), limit);
+    co_return read_reply(frame);
+  }
+
+ private:
+  Controller& controller_;
+};
+
+std::unique_ptr<http::Transport> Controller::detour() { return std::make_unique<Detour>(*this); }
+
+std::optional<std::size_t> Controller::member_with_news() const {
+  const auto now = core::Steady::now();
+  for (std::size_t i = 0; i < links_.size(); ++i)
+    if (core::since(member_news_[i], now) < kFreshNews) return i;
+  return std::nullopt;
+}
+
+asio::awaitable<void> Controller::ping(std::size_t member) {
+  const auto sent = core::Steady::now();
+  const double age = world_.with([&](World& w) { return core::since(w.synced_at, sent); });
+  std::string request = ping_frame(settings_.label, age);
+  const auto frame = co_await links_[member]->call(std::move(request), std::chrono::milliseconds(1500));
+  const auto message = frame ? peer::decode(*frame) : std::nullopt;
+  if (const auto* pong = message ? std::get_if<peer::Ping>(&*message) : nullptr)
+    member_news_[member] = std::max(member_news_[member], sent - core::secs(pong->news_age_s));
+}
+
+asio::awaitable<void> Controller::peer_loop() {
+  while (true) {
+    co_await sleep(kPingEvery);
+    for (std::size_t i = 0; i < links_.size(); ++i) asio::co_spawn(io_, ping(i), asio::detached);
+  }
+}
+
+asio::awaitable<std::string> Controller::handle_peer(std::string frame) {
+  const auto message = peer::decode(frame);
+  if (message && std::holds_alternative<peer::Ping>(*message)) {
+    const auto now = core::Steady::now();
+    const double age = world_.with([&](World& w) { return core::since(w.synced_at, now); });
+    co_return ping_frame(settings_.label, age);
+  }
+  if (const auto* relay = message ? std::get_if<peer::Relay>(&*message) : nullptr) {
+    const auto response = report(relay->report);
+    co_return reply_frame(response.status, response.body);
+  }
+  if (const auto* call = message ? std::get_if<peer::StateCall>(&*message) : nullptr) {
+    const auto verb = call->post ? http::Verb::post : http::Verb::get;
+    const auto answer = co_await store_.forward(verb, call->target, call->body);
+    co_return reply_frame(answer.status, answer.body);
+  }
+  co_return reply_frame(400, "");
+}
+
+// The member to relay a report to: the owner of the machine's part, when its worker was sent there a moment
+// ago and is here again, so that it seems not to get there by itself.
+std::optional<std::size_t> Controller::relay_to(const std::string& body) {
+  const auto parsed = wire::parse_report(body);
+  const auto* r = std::get_if<wire::Report>(&parsed);
+  if (!r) return std::nullopt;
+  const auto now = core::Steady::now();
+  return world_.with([&](World& w) -> std::optional<std::size_t> {
+    const auto zone = w.names.zones.find(r->zone);
+    const auto part = zone ? w.parts.part_of(r->machine, *zone) : std::nullopt;
+    if (!part) return std::nullopt;
+    auto& m = w.fleet.intern(w.names, r->machine);
+    if (m.first_seen == core::TimePoint{}) m.first_seen = now;
+    const bool back = core::since(m.sent_away, now) < 3 * w.s.report_s + 8;
+    m.sent_away = now;
+    for (std::size_t i = 0; back && i < settings_.members.size(); ++i)
+      if (settings_.members[i].label == w.mirror.claim(*part).owner) return i;
+    return std::nullopt;
+  });
+}
+
+asio::awaitable<http::Response> Controller::hello(std::string body) {
+  http::Response response = report(body);
+  if (response.status != 421) co_return response;
+  const auto owner = relay_to(body);
+  if (!owner) co_return response;
+  std::string request = relay_frame(body);
+  const auto frame = co_await links_[*owner]->call(std::move(request), std::chrono::milliseconds(2500));
+  const auto reply = read_reply(frame);
+  // Not relayed: the worker goes on trying by itself.
+  if (reply.status == 200) response = {200, reply.body};
+  co_return response;
+}
+
+}  // namespace finchrun::app
--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -41,12 +41,15 @@
   const bool get = request.method == "GET", post = request.method == "POST";
   if (path == "/hello") {
     if (!post) co_return error(405, "method not allowed");
-    co_return hello(request.body);
+    co_return co_await hello(std::move(request.body));
   }
   if (path == "/up") {
     if (!get) co_return error(405, "method not allowed");
-    const bool ready = world_.with([](World& w) { return w.loaded; });
-    if (!ready) co_return later("starting");
+    // In an outage shared by all, being taken out would only cost users a slow return: they are answered 503
+    // either way. A node that alone has no news leaves the users to those that have.
+    const auto now = core::Steady::now();
+    const bool news = world_.with([&](World& w) { return w.loaded && core::since(w.synced_at, now) < 3.0; });
+    if (!news && member_with_news()) co_return later("no news from the state service");
     co_return http::Response{200, "{}"};
   }
   if (path == kJobs) {
@@ -214,7 +217,7 @@
   co_return later("state unknown");
 }
 
-http::Response Controller::hello(const std::string& body) {
+http::Response Controller::report(const std::string& body) {
   auto parsed = wire::parse_report(body);
   if (const auto* bad = std::get_if<wire::Malformed>(&parsed)) return error(400, bad->why);
   const auto& r = std::get<wire::Report>(parsed);
--- /dev/null
+++ b/src/peer/messages.hpp
@@ -0,0 +1,76 @@
+// What controllers say to each other: cereal, versioned, one request and one answer a frame.
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <variant>
+
+namespace finchrun::peer {
+
+inline constexpr std::uint32_t kVersion = 1;
+inline constexpr std::size_t kMaxFrame = 4 * 1024 * 1024;
+
+// How the sender gets on with the state service; answered in kind.
+struct Ping {
+  std::string label;
+  double news_age_s = 0;  // since its newest answered read of the store's changes was sent
+  template <class A>
+  void serialize(A& a) {
+    a(label, news_age_s);
+  }
+};
+// A worker's report that reached a controller which doesn't own its part.
+struct Relay {
+  std::string report;
+  template <class A>
+  void serialize(A& a) {
+    a(report);
+  }
+};
+// A request to the state service by a controller that it refuses.
+struct StateCall {
+  bool post = false;
+  std::string target, body;
+  template <class A>
+  void serialize(A& a) {
+    a(post, target, body);
+  }
+};
+struct Reply {
+  std::int32_t status = 0;
+  std::string body;
+  template <class A>
+  void serialize(A& a) {
+    a(status, body);
+  }
+};
+using Message = std::variant<Ping, Relay, StateCall, Reply>;
+
+inline std::string encode(const Message& m) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(kVersion, m);
+  return std::move(out).str();
+}
+// Nothing for another version's message or one that makes no sense.
+inline std::optional<Message> decode(const std::string& frame) {
+  try {
+    std::istringstream in(frame);
+    cereal::PortableBinaryInputArchive archive(in);
+    std::uint32_t version = 0;
+    archive(version);
+    if (version != kVersion) return std::nullopt;
+    Message m;
+    archive(m);
+    return m;
+  } catch (const std::exception&) {  // cereal's own, or an absurd length
+    return std::nullopt;
+  }
+}
+
+}  // namespace finchrun::peer
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -65,9 +65,10 @@
 
 }  // namespace
 
-Store::Store(http::Network& network, const config::Settings& s)
+Store::Store(http::Network& network, const config::Settings& s, std::unique_ptr<http::Transport> detour)
     : client_(network.connect(s.state, 6)),
       renewals_(network.connect(s.state, 1)),
+      detour_(std::move(detour)),
       requests_(part_of(s.state_rps, s.nodes), part_of(s.state_rps, s.nodes) * 0.7, core::Steady::now()),
       writes_(part_of(s.state_write_rps, s.nodes), part_of(s.state_write_rps, s.nodes), core::Steady::now()),
       most_changes_(std::max<std::size_t>(
@@ -76,10 +77,29 @@
 
 bool Store::spend(int writes) { return writes_.take(writes, 0, core::Steady::now()); }
 
+// 503 means that the request was not executed, so it may be sent another way. Without any answer that is only
+// true of reads; a write might have been applied, and its caller must read it back.
+asio::awaitable<http::Answer> Store::go(http::Transport& direct, http::Verb verb, std::string target,
+                                        std::string body) {
+  constexpr auto kQuick = 400ms;  // while refused, the direct way is only probed
+  const bool refused = core::since(refused_at_, core::Steady::now()) < 1.0;
+  auto answer =
+      co_await direct.call(verb, target, body, refused && verb == http::Verb::get ? kQuick : kLimit);
+  const bool unsent = answer.status == 503 || (answer.status == 0 && verb == http::Verb::get);
+  if (unsent) refused_at_ = core::Steady::now();
+  if (unsent && detour_) answer = co_await detour_->call(verb, std::move(target), std::move(body), kLimit);
+  co_return answer;
+}
+
+asio::awaitable<http::Answer> Store::forward(http::Verb verb, std::string target, std::string body) {
+  if (!requests_.take(1, 0.2, core::Steady::now())) co_return http::Answer{429, {}};
+  co_return co_await client_->call(verb, std::move(target), std::move(body), kLimit);
+}
+
 asio::awaitable<http::Answer> Store::call(http::Verb verb, std::string target, std::string body,
                                           double reserve) {
   if (!requests_.take(1, reserve, core::Steady::now())) co_return http::Answer{429, {}};
-  http::Answer answer = co_await client_->call(verb, std::move(target), std::move(body), kLimit);
+  http::Answer answer = co_await go(*client_, verb, std::move(target), std::move(body));
   if (answer.status == 429) requests_.refused(core::Steady::now());
   co_return answer;
 }
@@ -165,7 +185,7 @@
 
 asio::awaitable<std::optional<std::uint64_t>> Store::grant(int ttl_ms) {
   requests_.take(1, -10, core::Steady::now());
-  http::Answer answer = co_await renewals_->call(http::Verb::post, "/grants", grant_body(ttl_ms), kLimit);
+  http::Answer answer = co_await go(*renewals_, http::Verb::post, "/grants", grant_body(ttl_ms));
   if (answer.status != 200) co_return std::nullopt;
   auto v = parse(answer.body);
   if (!v || !v->as_object().contains("hold")) co_return std::nullopt;
@@ -179,7 +199,7 @@
 asio::awaitable<int> Store::extend(std::uint64_t hold) {
   requests_.take(1, -10, core::Steady::now());
   http::Answer answer =
-      co_await renewals_->call(http::Verb::post, "/grants/" + std::to_string(hold) + "/extend", {}, kLimit);
+      co_await go(*renewals_, http::Verb::post, "/grants/" + std::to_string(hold) + "/extend", {});
   co_return answer.status;
 }
 
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -62,7 +62,8 @@
 
 class Store {
  public:
-  Store(http::Network& network, const config::Settings& s);
+  // `detour`: another way to the service, for when it refuses this controller alone.
+  Store(http::Network& network, const config::Settings& s, std::unique_ptr<http::Transport> detour = nullptr);
 
   asio::awaitable<Committed> commit(Txn txn);
   // Every change after `from`; the answer is at least as new as the moment of the call.
@@ -71,6 +72,8 @@
   asio::awaitable<std::optional<std::uint64_t>> grant(int ttl_ms);
   // Status of the renewal: 200 renewed, 404 the hold has ended, 0 or 503 unknown.
   asio::awaitable<int> extend(std::uint64_t hold);
+  // Another controller's request, sent on as it is; never by our own detour.
+  asio::awaitable<http::Answer> forward(http::Verb verb, std::string target, std::string body);
   // Room for `writes` changes now? Spends it.
   bool spend(int writes);
   // Most changes that one transaction may hold: more than a burst of the budget could never be spent at once.
@@ -78,9 +81,13 @@
 
  private:
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body, double reserve);
+  asio::awaitable<http::Answer> go(http::Transport& direct, http::Verb verb, std::string target,
+                                   std::string body);
 
   std::unique_ptr<http::Transport> client_;
   std::unique_ptr<http::Transport> renewals_;  // own connection: a renewal never waits behind a large answer
+  std::unique_ptr<http::Transport> detour_;
+  core::TimePoint refused_at_{};  // when the service last answered 503 to us
   Budget requests_;
   Budget writes_;
   std::size_t most_changes_ = 2;
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -40,6 +40,7 @@
   std::uint64_t session = 0, seq = 0, token = 0;
   core::TimePoint last_report{};
   core::TimePoint last_push{};
+  core::TimePoint sent_away{};  // when we last told its worker to report to the owner
   std::optional<double> notice_s;
   std::size_t strangers = 0;  // pieces on it that no record knows
   core::TimePoint idle_since{};
--- /dev/null
+++ b/tests/peer/messages_test.cpp
@@ -0,0 +1,32 @@
+#include "peer/messages.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchrun::peer {
+namespace {
+
+TEST(PeerMessages, SurviveTheWire) {
+  const auto ping = decode(encode(Ping{"perch-1", 0.25}));
+  ASSERT_TRUE(ping);
+  EXPECT_EQ(std::get<Ping>(*ping).label, "perch-1");
+  EXPECT_DOUBLE_EQ(std::get<Ping>(*ping).news_age_s, 0.25);
+  const auto call = decode(encode(StateCall{true, "/commit", "{}"}));
+  ASSERT_TRUE(call);
+  EXPECT_TRUE(std::get<StateCall>(*call).post);
+  EXPECT_EQ(std::get<StateCall>(*call).target, "/commit");
+  const auto relay = decode(encode(Relay{"report"}));
+  ASSERT_TRUE(relay);
+  EXPECT_EQ(std::get<Relay>(*relay).report, "report");
+}
+
+TEST(PeerMessages, WhatMakesNoSenseIsNoMessage) {
+  auto cut = encode(Reply{200, "body"});
+  cut.resize(cut.size() - 3);
+  auto other = encode(Reply{200, "body"});
+  other[1] = 9;  // the version
+  for (const std::string& frame : {std::string(), std::string("x"), std::string(64, '\xff'), cut, other})
+    EXPECT_FALSE(decode(frame)) << frame.size();
+}
+
+}  // namespace
+}  // namespace finchrun::peer
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -62,11 +62,44 @@
   std::size_t node;
 };
 
+struct Cluster::PeerLine : peer::Link {
+  PeerLine(Cluster& c, asio::io_context& io, std::size_t from, std::size_t to)
+      : cluster(c), io(io), from(from), to(to) {}
+  asio::awaitable<std::optional<std::string>> call(std::string frame,
+                                                   std::chrono::milliseconds limit) override {
+    struct Pending {
+      core::Timer timer;
+      std::optional<std::string> answer;
+    };
+    auto pending = std::make_shared<Pending>(Pending{core::Timer(io, limit), {}});
+    if (!cluster.chance(cluster.faults.lose_request) && !cluster.cut.contains({from, "peers"}) &&
+        !cluster.cut.contains({to, "peers"}))
+      cluster.post(cluster.delay(), [pending, frame, &c = cluster, to = to] {
+        c.deliver_frame(to, frame, [pending](std::string answer) {
+          pending->answer = std::move(answer);
+          pending->timer.cancel();
+        });
+      });
+    boost::system::error_code ec;
+    co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_return pending->answer;
+  }
+  Cluster& cluster;
+  asio::io_context& io;
+  std::size_t from, to;
+};
+
 struct Cluster::Node {
   Node(Cluster& c, std::size_t index, const config::Settings& s, std::uint32_t seed)
-      : net(c, io, index), controller(io, net, s, config::Tuning{}, seed) {
+      : net(c, io, index), controller(io, net, s, config::Tuning{}, seed, links(c, io, index)) {
     controller.start();
   }
+  static std::vector<std::unique_ptr<peer::Link>> links(Cluster& c, asio::io_context& io, std::size_t index) {
+    std::vector<std::unique_ptr<peer::Link>> out;
+    for (std::size_t n = 0; n < c.nodes_.size(); ++n)
+      if (n != index) out.push_back(std::make_unique<PeerLine>(c, io, index, n));
+    return out;
+  }
   asio::io_context io{1};
   Net net;
   app::Controller controller;
@@ -290,6 +323,16 @@
   return true;
 }
 
+void Cluster::deliver_frame(std::size_t node, const std::string& frame,
+                            std::function<void(std::string)> done) {
+  if (!nodes_[node]) return;
+  asio::co_spawn(nodes_[node]->io, nodes_[node]->controller.handle_peer(frame),
+                 [this, done = std::move(done)](std::exception_ptr, std::string answer) {
+                   if (chance(faults.lose_answer)) return;
+                   post(delay(), [done, answer = std::move(answer)] { done(answer); });
+                 });
+}
+
 Answer Cluster::deliver(std::size_t, const config::Endpoint& to, http::Verb verb, const std::string& target,
                         const std::string& body) {
   if (to.host == "10.2.0.1") return state.handle(verb, target, body, now_);
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -40,7 +40,7 @@
   std::map<std::string, JobTruth> jobs;
   std::map<std::string, Worker> workers;
   std::set<std::pair<std::size_t, std::string>>
-      cut;  // node can't reach (and isn't reached by) "state", "cloud", zone
+      cut;  // node can't reach (and isn't reached by) "state", "cloud", "peers", zone
   std::size_t starts = 0;
   std::mt19937 random;
 
@@ -48,7 +48,9 @@
   struct Node;
   struct Line;
   struct Net;
+  struct PeerLine;
   friend struct Line;
+  void deliver_frame(std::size_t node, const std::string& frame, std::function<void(std::string)> done);
 
   void post(double delay_s, std::function<void()> what);
   double delay();
