--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -59,13 +59,6 @@
   return deadline && spec.submitted_s + *spec.due_s - now_s > needs;
 }
 
-std::optional<double> World::start_aim_s(core::LaneId lane) const {
-  std::optional<double> aim;
-  for (const auto& o : s.objectives)
-    if (o.kind == "wait" && o.lane == names.lanes.name(lane)) aim = std::min(aim.value_or(o.within_s), o.within_s);
-  return aim;
-}
-
 void World::observe_lanes() {
   constexpr double kFade = 0.98;  // a round
   lanes.resize(names.lanes.size());
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -73,8 +73,6 @@
   }
   // A job of a lane of which only deadlines are asked, with time left to start later and still make it.
   [[nodiscard]] bool patient(const jobs::JobSpec& spec, double now_s) const;
-  // The tightest start aim of the lane, if it has one.
-  [[nodiscard]] std::optional<double> start_aim_s(core::LaneId lane) const;
   [[nodiscard]] core::Resources used_on(core::MachineId id) const;
   [[nodiscard]] std::vector<core::Resources> used_by_team() const;
   // Is the machine up and does its worker obey this controller?
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -398,7 +398,6 @@
         d.waited_s = wall - job.spec.submitted_s;
         d.guaranteed = guaranteed.contains(id) && d.waited_s >= w.guarantee_patience_s();
         d.patient = w.patient(job.spec, wall);
-        if (const auto aim = w.start_aim_s(job.spec.lane)) d.start_within_s = *aim - d.waited_s;
         d.has_reservation = reserved.contains(id);
         d.image = job.spec.image;
         d.image_gb = job.spec.image_gb;
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -35,10 +35,7 @@
 // room used up. Lower is better.
 double cost_here(const Demand& d, const Node& n) {
   double cost = n.risk;
-  const double fetch = holds(n, d.image) ? 0 : 2 + d.image_gb / std::max(n.fetch_gb_per_s, 0.01);
-  cost += fetch;
-  // The fetch alone can eat a start aim: then a machine that fetches faster is worth the machine it takes.
-  if (d.start_within_s && *d.start_within_s > 0 && fetch > *d.start_within_s) cost += 15;
+  if (!holds(n, d.image)) cost += 2 + d.image_gb / std::max(n.fetch_gb_per_s, 0.01);
   // Ordinary machines are kept for those that may not use spot machines.
   if (d.spot && !n.spot) cost += 3;
   // Machines that other lanes can't do without are left to them.
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -42,7 +42,6 @@
   double waited_s = 0;
   core::LaneId lane;
   bool guaranteed = false;       // fits its team's guarantee together with the team's earlier unfinished jobs
-  std::optional<double> start_within_s;  // what is left of its lane's tightest start aim
   bool patient = false;          // only its deadline counts, and that is still far
   bool has_reservation = false;  // room is being made for it already
 };
