--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -135,8 +135,18 @@
       (w.silent_s(m, now) > 3 * w.s.report_s + 2 ? unheard : heard)[m.part.v]++;
     }
     std::set<core::MachineId> named;
-    for (const auto& [key, run] : w.mirror.runs())
-      for (const auto& e : run.entries) named.insert(e.machine);
+    for (const auto& [key, run] : w.mirror.runs()) {
+      for (const auto& e : run.entries) {
+        named.insert(e.machine);
+        if (!w.acting(key.second) || w.fleet.find(e.machine)) continue;
+        // Taken while no owner was there to see it: never listed, never reporting, yet recorded. Its deletion
+        // has to be asked for too, or its tasks stay booked for good.
+        auto& m = w.fleet.intern(w.names, w.names.machines.name(e.machine));
+        m.part = key.second;
+        m.zone = w.parts.zone(key.second);
+        m.first_seen = now;
+      }
+    }
     for (auto& [id, m] : w.fleet.all()) {
       if (returns.size() >= 50) break;
       if (!m.part.valid() || !w.acting(m.part) || m.gone || m.releasing) continue;
--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -97,6 +97,16 @@
                               if (n++ % 3 == 0) w.dead = true, c.cloud.hosts[name].dead = true;
                           });
                         }},
+                    Day{"machines_taken_while_all_controllers_are_down",
+                        [](Cluster& c) {
+                          for (std::size_t n = 0; n < 3; ++n) c.at(15, [&c, n] { c.crash(n, 8); });
+                          c.at(16, [&c] {
+                            for (const char* name : {"host-000000", "host-000001", "host-000003"}) {
+                              c.workers.erase(name);
+                              c.cloud.hosts.erase(name);
+                            }
+                          });
+                        }},
                     Day{"machines_hang_and_resume",
                         [](Cluster& c) {
                           c.at(14, [&c] {
