One job look-up, one grace, one pass over victims; a dead member removed

Behaviour is unchanged but for one thing: an answer that comes after a start's note was settled no longer leaves an empty note behind.

--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -25,7 +25,6 @@
 struct Edit {
   std::vector<state::Condition> when;
   std::vector<state::Change> then;
-  std::vector<worker::Fact> facts;                               // settled by it
   std::vector<std::string> log;                                  // told once it is durable
   std::map<core::MachineId, std::vector<worker::Start>> starts;  // that may leave once it is durable
 };
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -310,8 +310,10 @@
   }
   world_.with([&](World& w) {
     for (const auto& s : starts) {
-      if (answer.status == 409 || answer.status == 400) w.fleet.sent.erase(s);
-      if (seq) w.fleet.sent[s].answered_seq = seq;
+      const auto note = w.fleet.sent.find(s);
+      if (note == w.fleet.sent.end()) continue;  // settled meanwhile: nothing to keep
+      if (seq) note->second.answered_seq = seq;
+      if (answer.status == 409 || answer.status == 400) w.fleet.sent.erase(note);
     }
   });
 }
--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -115,7 +115,7 @@
   std::string why;
   state::Txn txn;
   const Next next = world_.with([&](World& w) {
-    if (const auto id = w.names.jobs.find(s.id); id && w.mirror.job(*id)) return Next::known;
+    if (w.find_job(s.id)) return Next::known;
     if (!w.loaded || w.fleet.flavors.empty()) return Next::undecided;
     if (auto never = never_runs(w, s, s.spec)) {
       why = *never;
@@ -145,10 +145,7 @@
   if (next == Next::never) {
     if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
       co_return later("state unknown");
-    const bool known = world_.with([&](World& w) {
-      const auto id = w.names.jobs.find(s.id);
-      return id && w.mirror.job(*id);
-    });
+    const bool known = world_.with([&](World& w) { return w.find_job(s.id) != nullptr; });
     if (!known) co_return error(422, why);
   }
   if (next == Next::known || next == Next::never) co_return co_await query(s.id);
@@ -165,10 +162,7 @@
       // It might be applied: what the record says after it decides.
       if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1000)))
         co_return later("state unknown");
-      const bool known = world_.with([&](World& w) {
-        const auto id = w.names.jobs.find(s.id);
-        return id && w.mirror.job(*id);
-      });
+      const bool known = world_.with([&](World& w) { return w.find_job(s.id) != nullptr; });
       if (known) co_return co_await query(s.id);
       co_return later("state unknown");
     }
@@ -208,10 +202,7 @@
       if (result.outcome == Outcome::refused) co_return later("state service refuses");
     }
     if (!co_await barrier(deadline)) co_return later("state unknown");
-    if (next == Next::unknown && !world_.with([&](World& w) {
-          const auto known = w.names.jobs.find(id);
-          return known && w.mirror.job(*known);
-        }))
+    if (next == Next::unknown && !world_.with([&](World& w) { return w.find_job(id) != nullptr; }))
       co_return error(404, "no such job");
   }
   co_return later("state unknown");
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -59,6 +59,11 @@
   [[nodiscard]] bool news_fresh(core::TimePoint now) const {
     return core::since(synced_at, now) < std::max(1.0, s.cancel_s - s.lease_s * 1.01 - 3.0);
   }
+  // The job of this name, if it was ever accepted.
+  [[nodiscard]] const jobs::JobRecord* find_job(std::string_view name) const {
+    const auto id = names.jobs.find(name);
+    return id ? mirror.job(*id) : nullptr;
+  }
   // A member whose process runs, as far as the state service knows.
   [[nodiscard]] bool alive(const std::string& label) const { return mirror.member(label) != nullptr; }
 
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -122,7 +122,7 @@
 void drain(World& w, core::PartId part) {
   std::set<core::JobId> gangs;
   const auto stop = [&](core::JobId id, const jobs::JobSpec& spec, const jobs::Entry& e) {
-    const double grace = spec.checkpoint_s > 0 ? spec.save_s * 1.5 + 2 : 0;
+    const double grace = spec.stop_grace_s();
     if (w.fleet.to_stop.try_emplace({id, e.task, e.attempt}, grace).second)
       spdlog::info("drain job={} task={} try={} machine={}", w.names.jobs.name(id), e.task, e.attempt,
                    w.names.machines.name(e.machine));
@@ -231,7 +231,6 @@
       const auto& job_name = w.names.jobs.name(key.first);
       const auto& part_name = w.names.parts.name(key.second);
       Edit e;
-      e.facts = facts;
       e.when.push_back({state::keys::part(part_name), w.token(key.second)});
       e.when.push_back({state::keys::run(job_name, part_name), run.stamp});
       const bool live = job && job->status == jobs::Status::live;
@@ -541,19 +540,14 @@
     double longest = 0;
     for (const auto v : e.victims) {
       const auto& r = running[v];
-      const auto& spec = w.mirror.job(r.job)->spec;
       // All of a gang must hear it within gang_peer_s of each other, with time to save.
-      const double grace = spec.checkpoint_s > 0 ? spec.save_s * 1.5 + 2 : 0;
+      const double grace = w.mirror.job(r.job)->spec.stop_grace_s();
       longest = std::max(longest, grace);
       w.fleet.to_stop[{r.job, r.task, r.attempt}] = grace;
       spdlog::info("preempt job={} task={} try={} machine={} for={}", w.names.jobs.name(r.job), r.task,
                    r.attempt, w.names.machines.name(r.machine), w.names.jobs.name(d.job));
-    }
-    for (const auto v : e.victims) {
-      const auto& r = running[v];
-      const worker::Start start{r.job, r.task, r.attempt};
       stops[r.machine].push_back(
-          {wire::Order::Kind::stop, w.names.jobs.name(r.job), r.task, r.attempt, w.fleet.to_stop[start]});
+          {wire::Order::Kind::stop, w.names.jobs.name(r.job), r.task, r.attempt, grace});
     }
     for (const auto id : e.machines) {
       auto* m = w.fleet.find(id);
@@ -590,12 +584,12 @@
   std::optional<Move> move;
   const auto now = core::Steady::now();
   world_.with([&](World& w) {
+    const auto used = w.used_by_team();
     for (std::size_t i = 0; i < backlog_.size() && !move; ++i) {
       const auto& d = backlog_[i];
       const auto part = backlog_part_[i];
       const auto* job = w.mirror.job(d.job);
       if (!w.acting(part) || !job || job->status != jobs::Status::live || job->ranges.size() > 48) continue;
-      const auto used = w.used_by_team();
       const sched::TeamRoom room{used[d.team.v], w.s.teams[d.team.v].cpus_max, w.s.teams[d.team.v].gpus_max};
       if (!room.allows(d.gang ? d.need * static_cast<double>(d.tasks.size()) : d.need)) continue;
       const bool whole = job->spec.gang || job->spec.one_zone;
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -52,6 +52,8 @@
   [[nodiscard]] bool allows_type(core::TypeId t) const {
     return !types || std::find(types->begin(), types->end(), t) != types->end();
   }
+  // Grace to give when the task is stopped, so that it can save: none if it can't.
+  [[nodiscard]] double stop_grace_s() const { return checkpoint_s > 0 ? save_s * 1.5 + 2 : 0; }
   // `spread`: most of the tasks that may be in one zone.
   [[nodiscard]] std::uint32_t zone_cap() const { return spread ? (tasks + 1) / 2 : tasks; }
 };
