--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -1,57 +1,11 @@
 // The cloud: machine types, the lagging list, machines that are gone, renting for the backlog, returning.
 #include <spdlog/spdlog.h>
 
+#include <cmath>
+
 #include "app/controller.hpp"
 
 namespace finchrun::app {
-namespace {
-
-// A machine of which nothing is certain yet, or that is certain to be useless.
-bool worth_counting(const World& w, const worker::Machine& m, core::TimePoint now) {
-  if (m.sick || m.gone || m.releasing || m.notice_s || !m.part.valid()) return false;
-  if (w.acting(m.part)) return w.usable(m, now);
-  return m.listed && m.status == "running";
-}
-
-}  // namespace
-
-std::vector<sched::PartRoom> part_rooms(const World& w, const jobs::JobSpec& spec, core::TimePoint now) {
-  std::vector<sched::PartRoom> rooms(w.parts.size());
-  std::vector<core::Resources> waiting(w.parts.size());
-  for (const auto id : w.mirror.live()) {
-    const auto& job = *w.mirror.job(id);
-    for (const auto& r : job.ranges) {
-      std::uint32_t busy = 0;
-      w.mirror.each_run(id, [&](core::PartId, const jobs::RunRecord& run) {
-        busy += run.done.count(r.from, r.to);
-        for (const auto& e : run.entries) busy += e.task >= r.from && e.task < r.to ? 1 : 0;
-      });
-      waiting[r.part.v] +=
-          job.spec.need * static_cast<double>((r.to - r.from) - std::min(r.to - r.from, busy));
-    }
-  }
-  for (std::uint32_t p = 0; p < rooms.size(); ++p) {
-    rooms[p].part = core::PartId{p};
-    rooms[p].zone = w.parts.zone(core::PartId{p});
-    rooms[p].allowed = !spec.zone || *spec.zone == rooms[p].zone;
-    double backlog = 0;
-    if (spec.need.gpus > 0) backlog = std::max(backlog, waiting[p].gpus / spec.need.gpus);
-    if (spec.need.cpus > 0) backlog = std::max(backlog, waiting[p].cpus / spec.need.cpus);
-    rooms[p].backlog = backlog;
-  }
-  for (const auto& [id, m] : w.fleet.all()) {
-    if (!worth_counting(w, m, now) || !spec.allows_type(m.type) || (m.spot && !spec.spot)) continue;
-    const auto* flavor = w.fleet.flavor(m.type);
-    if (!flavor) continue;
-    auto& room = rooms[m.part.v];
-    auto free = flavor->size;
-    free -= w.used_on(id);
-    room.free += spec.need.times_in(free);
-    room.capacity += spec.need.times_in(flavor->size);
-    for (const auto& [image, _] : m.images) room.has_image = room.has_image || image == spec.image;
-  }
-  return rooms;
-}
 
 asio::awaitable<void> Controller::cloud_loop() {
   core::TimePoint next_list{}, next_flavors{}, next_hire{};
@@ -63,7 +17,7 @@
       next_flavors = now + jitter(known ? 120 : 0.5);
     }
     if (now >= next_list) {
-      next_list = now + jitter(2.0);
+      next_list = now + jitter(std::max(2.0, cloud_.list_every_s()));
       co_await refresh_machines();
       co_await return_machines();
     }
@@ -92,6 +46,7 @@
   world_.with([&](World& w) {
     for (auto& [_, m] : w.fleet.all()) m.listed = false;
     for (const auto& item : *list) {
+      if (w.fleet.was_deleted(w.names, item.name)) continue;  // the list lags
       auto& m = w.fleet.intern(w.names, item.name);
       if (m.first_seen == core::TimePoint{}) m.first_seen = now;
       m.listed = m.ever_listed = true;
@@ -105,14 +60,11 @@
       m.status = item.status;
     }
     // Machines that are no longer listed and that no record names are of no interest any more.
-    std::set<core::MachineId> named;
-    for (const auto& [key, run] : w.mirror.runs())
-      for (const auto& e : run.entries) named.insert(e.machine);
     const double patience = 4 * w.s.cloud_list_lag_s + 60;
     std::erase_if(w.fleet.all(), [&](const auto& item) {
       const auto& m = item.second;
-      return !m.listed && !named.contains(item.first) && core::since(m.first_seen, now) > patience &&
-             core::since(m.last_report, now) > patience;
+      return !m.listed && w.mirror.on_machine(item.first).empty() &&
+             core::since(m.first_seen, now) > patience && core::since(m.last_report, now) > patience;
     });
   });
 }
@@ -134,25 +86,25 @@
       if (!m.part.valid() || m.gone || !m.listed || m.status != "running") continue;
       (w.silent_s(m, now) > 3 * w.s.report_s + 2 ? unheard : heard)[m.part.v]++;
     }
-    std::set<core::MachineId> named;
-    for (const auto& [key, run] : w.mirror.runs()) {
-      for (const auto& e : run.entries) {
-        named.insert(e.machine);
-        if (!w.acting(key.second) || w.fleet.find(e.machine)) continue;
-        // Taken while no owner was there to see it: never listed, never reporting, yet recorded. Its deletion
-        // has to be asked for too, or its tasks stay booked for good.
-        auto& m = w.fleet.intern(w.names, w.names.machines.name(e.machine));
-        m.part = key.second;
-        m.zone = w.parts.zone(key.second);
-        m.first_seen = now;
-      }
-    }
+    w.mirror.each_named_machine([&](core::MachineId id, const std::vector<state::Placed>& list) {
+      const auto part = list.front().part;
+      if (!w.acting(part)) return;
+      // A placement that was on its way when the machine was returned: what it booked is gone too.
+      if (w.fleet.deleted.contains(id)) return worker::machine_gone(w.mirror, w.fleet, id);
+      if (w.fleet.find(id)) return;
+      // Taken while no owner was there to see it: never listed, never reporting, yet recorded. Its deletion
+      // has to be asked for too, or its tasks stay booked for good.
+      auto& m = w.fleet.intern(w.names, w.names.machines.name(id));
+      m.part = part;
+      m.zone = w.parts.zone(part);
+      m.first_seen = now;
+    });
     for (auto& [id, m] : w.fleet.all()) {
       if (returns.size() >= 50) break;
       if (!m.part.valid() || !w.acting(m.part) || m.gone || m.releasing) continue;
       const auto* flavor = w.fleet.flavor(m.type);
       const double silent = w.silent_s(m, now);
-      const bool in_use = named.contains(id);
+      const bool in_use = !w.mirror.on_machine(id).empty();
       const char* why = nullptr;
       if (m.listed && m.status == "failed") why = "failed";
       // Silent and not listed: it is gone, and the answer to the deletion makes that certain.
@@ -167,6 +119,9 @@
         why = "never came up";
       else if (m.sick && !in_use)
         why = "sick";
+      // Its reports come and nothing of ours arrives: its lease has run out, and again, with us answering.
+      else if (m.deaf() && core::since(*m.deaf_since, now) > 2 * w.s.lease_s + 15)
+        why = "deaf";
       else if (m.reported && !in_use && core::since(m.idle_since, now) > w.t.idle_return_s)
         why = "idle";
       if (!why) continue;
@@ -188,94 +143,115 @@
       }
       spdlog::info("returned machine={} why={}", r.name, r.why);
       worker::machine_gone(w.mirror, w.fleet, r.id);
+      w.fleet.deleted.insert(r.id);
       m->gone = true;
       m->reported = false;
     }
   });
 }
 
-asio::awaitable<void> Controller::hire() {
-  struct Wish {
-    std::string type, zone;
-    bool spot = false;
-    int count = 0;
-    std::string request, slot;
+// What one kind of machine is wanted for.
+struct Controller::Wish {
+  std::string type, zone;
+  bool spot = false;
+  double machines = 0;
+  std::string slot;
+};
+
+// The cheapest kind for each job that can't be placed, among those not refused lately; added up by kind.
+std::vector<Controller::Wish> Controller::wanted_machines(World& w, core::TimePoint now) {
+  std::map<std::string, Wish> wishes;
+  const auto used = w.used_by_team();
+  std::vector<sched::TeamRoom> teams;
+  for (std::size_t i = 0; i < used.size(); ++i)
+    teams.push_back({used[i], w.s.teams[i].cpus_max, w.s.teams[i].gpus_max});
+  // Room that is on its way, by part, eats up the backlog first.
+  struct Coming {
+    core::PartId part;
+    core::TypeId type;
+    bool spot;
+    core::Resources free;
   };
-  std::optional<Wish> wish;
-  const auto now = core::Steady::now();
-  world_.with([&](World& w) {
-    if (w.fleet.flavors.empty()) return;
-    const auto used = w.used_by_team();
-    std::vector<sched::TeamRoom> teams;
-    for (std::size_t i = 0; i < used.size(); ++i)
-      teams.push_back({used[i], w.s.teams[i].cpus_max, w.s.teams[i].gpus_max});
-    // Room that is on its way, by part, eats up the backlog first.
-    struct Coming {
-      core::PartId part;
-      core::TypeId type;
-      bool spot;
-      core::Resources free;
+  std::vector<Coming> coming;
+  for (const auto& [id, m] : w.fleet.all()) {
+    if (!m.part.valid() || !w.acting(m.part) || m.releasing || m.sick || m.gone) continue;
+    const auto* flavor = w.fleet.flavor(m.type);
+    if (!flavor || m.reported) continue;
+    if (core::since(m.first_seen, now) > 4 * flavor->boot_s) continue;
+    coming.push_back({m.part, m.type, m.spot, flavor->size});
+  }
+  for (std::size_t i = 0; i < backlog_.size(); ++i) {
+    const auto& d = backlog_[i];
+    const auto part = backlog_part_[i];
+    if (!w.acting(part)) continue;
+    auto left = d.gang ? static_cast<std::uint32_t>(d.tasks.size()) : d.count;
+    auto& team = teams[d.team.v];
+    auto c = coming.begin();
+    const auto takes = [&](const Coming& m) {
+      return m.part == part && d.need.fits(m.free) && (!m.spot || d.spot) &&
+             (!d.types || std::find(d.types->begin(), d.types->end(), m.type) != d.types->end());
     };
-    std::vector<Coming> coming;
-    for (const auto& [id, m] : w.fleet.all()) {
-      if (!m.part.valid() || !w.acting(m.part) || m.releasing || m.sick || m.gone) continue;
-      const auto* flavor = w.fleet.flavor(m.type);
-      if (!flavor || m.reported) continue;
-      if (core::since(m.first_seen, now) > 4 * flavor->boot_s) continue;
-      coming.push_back({m.part, m.type, m.spot, flavor->size});
+    for (; left > 0 && team.allows(d.need); --left) {
+      c = std::find_if(c, coming.end(), takes);
+      if (c == coming.end()) break;
+      c->free -= d.need;
+      team.used += d.need;
     }
-    for (std::size_t i = 0; i < backlog_.size() && !wish; ++i) {
-      const auto& d = backlog_[i];
-      const auto part = backlog_part_[i];
-      if (!w.acting(part)) continue;
-      auto left = d.gang ? static_cast<std::uint32_t>(d.tasks.size()) : d.count;
-      auto& team = teams[d.team.v];
-      for (; left > 0 && team.allows(d.need); --left) {
-        auto spot_fits = [&](const Coming& c) {
-          return c.part == part && d.need.fits(c.free) && (!c.spot || d.spot) &&
-                 (!d.types || std::find(d.types->begin(), d.types->end(), c.type) != d.types->end());
-        };
-        auto c = std::find_if(coming.begin(), coming.end(), spot_fits);
-        if (c == coming.end()) break;
-        c->free -= d.need;
-        team.used += d.need;
-      }
-      if (left == 0 || !team.allows(d.need)) continue;
-      // Which type, and spot or ordinary: the cheapest for what fits, among those not refused lately.
-      const auto zone = w.parts.zone(part);
-      const auto& zone_name = w.names.zones.name(zone);
-      double best = 0;
-      for (std::size_t f = 0; f < w.fleet.flavors.size(); ++f) {
-        const auto& flavor = w.fleet.flavors[f];
-        const auto type = w.fleet.flavor_ids[f];
-        if (d.types && std::find(d.types->begin(), d.types->end(), type) == d.types->end()) continue;
-        if (std::find(flavor.zones.begin(), flavor.zones.end(), zone_name) == flavor.zones.end()) continue;
-        const int each = d.need.times_in(flavor.size);
-        if (each < 1) continue;
-        for (const bool spot : {false, true}) {
-          if (spot && !d.spot) continue;
-          const auto slot = flavor.name + "|" + zone_name + (spot ? "|spot" : "|own");
-          if (auto it = no_capacity_until_.find(slot); it != no_capacity_until_.end() && it->second > now)
-            continue;
-          const double price = (spot ? flavor.spot_price : flavor.price) / std::min<double>(each, left);
-          if (wish && price >= best) continue;
-          best = price;
-          wish = Wish{flavor.name,
-                      zone_name,
-                      spot,
-                      std::min(w.t.hire_batch, static_cast<int>((left + static_cast<unsigned>(each) - 1) /
-                                                                static_cast<unsigned>(each))),
-                      "",
-                      slot};
-        }
+    const auto& zone_name = w.names.zones.name(w.parts.zone(part));
+    const Wish* best = nullptr;
+    double best_price = 0;
+    int best_each = 1;
+    for (std::size_t f = 0; left > 0 && team.allows(d.need) && f < w.fleet.flavors.size(); ++f) {
+      const auto& flavor = w.fleet.flavors[f];
+      const auto type = w.fleet.flavor_ids[f];
+      if (d.types && std::find(d.types->begin(), d.types->end(), type) == d.types->end()) continue;
+      if (std::find(flavor.zones.begin(), flavor.zones.end(), zone_name) == flavor.zones.end()) continue;
+      const int each = d.need.times_in(flavor.size);
+      if (each < 1) continue;
+      for (const bool spot : {false, true}) {
+        if (spot && !d.spot) continue;
+        const auto slot = flavor.name + "|" + zone_name + (spot ? "|spot" : "|own");
+        if (auto it = no_capacity_until_.find(slot); it != no_capacity_until_.end() && it->second > now)
+          continue;
+        const double price = (spot ? flavor.spot_price : flavor.price) / std::min<double>(each, left);
+        if (best && price >= best_price) continue;
+        best_price = price;
+        best_each = each;
+        best = &wishes.try_emplace(slot, Wish{flavor.name, zone_name, spot, 0, slot}).first->second;
       }
     }
-    if (wish) wish->request = fmt::format("{}-{}-{}", w.s.label, w.incarnation, ++hire_count_);
+    if (!best) continue;
+    std::uint32_t asked = 0;
+    for (; asked < left && team.allows(d.need); ++asked) team.used += d.need;
+    wishes.at(best->slot).machines += static_cast<double>(asked) / best_each;
+  }
+  std::vector<Wish> out;
+  for (auto& [_, wish] : wishes)
+    if (wish.machines > 0) out.push_back(std::move(wish));
+  std::sort(out.begin(), out.end(), [](const Wish& a, const Wish& b) { return a.machines > b.machines; });
+  return out;
+}
+
+asio::awaitable<void> Controller::hire() {
+  constexpr int kMostAtOnce = 50;  // the cloud's limit
+  std::optional<Wish> wish;
+  int count = 0;
+  std::string request;
+  const auto now = core::Steady::now();
+  world_.with([&](World& w) {
+    if (w.fleet.flavors.empty()) return;
+    auto wishes = wanted_machines(w, now);
+    if (wishes.empty()) return;
+    wish = std::move(wishes.front());
+    // Work that ends in the meantime frees room too: a large need is met by halves.
+    const int need = static_cast<int>(std::ceil(wish->machines));
+    count = std::min(kMostAtOnce, std::max(std::min(w.t.hire_batch, need), need / 2));
+    request = fmt::format("{}-{}-{}", w.s.label, w.incarnation, ++hire_count_);
   });
   if (!wish) co_return;
-  const auto answer = co_await cloud_.hire(wish->request, wish->type, wish->zone, wish->spot, wish->count);
+  const auto answer = co_await cloud_.hire(request, wish->type, wish->zone, wish->spot, count);
   spdlog::info("hire type={} zone={} spot={} wanted={} got={} request={}", wish->type, wish->zone, wish->spot,
-               wish->count, answer.machines.size(), wish->request);
+               count, answer.machines.size(), request);
   if (answer.kind == cloud::Hired::Kind::no_capacity) {
     no_capacity_until_[wish->slot] = now + jitter(15);
   } else if (answer.kind == cloud::Hired::Kind::failed) {
@@ -293,7 +269,7 @@
         m.first_seen = m.starting_since = core::Steady::now();
       }
     });
-    if (answer.machines.size() < static_cast<std::size_t>(wish->count))
+    if (answer.machines.size() < static_cast<std::size_t>(count))
       no_capacity_until_[wish->slot] = now + jitter(15);
   }
 }
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 
+#include "app/edits.hpp"
 #include "app/world.hpp"
 #include "cloud/cloud.hpp"
 #include "core/locked.hpp"
@@ -21,12 +22,21 @@
 
 namespace asio = boost::asio;
 
-// One job's change within a transaction.
-struct Edit {
-  std::vector<state::Condition> when;
-  std::vector<state::Change> then;
-  std::vector<std::string> log;                                  // told once it is durable
-  std::map<core::MachineId, std::vector<worker::Start>> starts;  // that may leave once it is durable
+// What one round decides from.
+struct RoundView {
+  struct Part {
+    std::vector<sched::Node> nodes;
+    std::vector<sched::TeamRoom> rooms;
+    std::vector<std::size_t> demands;  // indices into the view's
+  };
+  std::vector<sched::Waiting> queue;
+  std::vector<sched::Demand> demands;
+  std::vector<double> usage, shares;
+  std::vector<sched::TeamClaim> claims;
+  std::vector<core::Resources> used;  // by team, in all parts
+  std::set<core::JobId> within;       // jobs within their team's guarantee
+  std::map<core::PartId, Part> parts;
+  std::uint64_t attempt = 0;
 };
 
 class Controller {
@@ -56,6 +66,12 @@
   asio::awaitable<void> hand_back(core::PartId part, std::string to);
   asio::awaitable<void> push_loop();
   asio::awaitable<void> push(core::MachineId machine);
+  // Orders straight to the worker, and what came of it.
+  struct Told {
+    int status = 0;                    // 0: no answer
+    std::optional<std::uint64_t> seq;  // of the answer, if the orders were executed
+  };
+  asio::awaitable<Told> tell(core::MachineId machine, const std::vector<wire::Order>& orders);
   // Sends orders straight to the worker; `starts` are those among them that start tasks.
   asio::awaitable<void> send(core::MachineId machine, std::vector<wire::Order> orders,
                              std::vector<worker::Start> starts);
@@ -66,6 +82,20 @@
   asio::awaitable<void> writer_loop();
   asio::awaitable<void> flush();
   asio::awaitable<void> round();
+  // Fills the view; false if nothing can be decided now.
+  bool look(World& w, RoundView& view, core::TimePoint now);
+  static Edit placement(World& w, core::PartId part, const sched::Demand& d, double weight,
+                        std::uint64_t attempt, const std::vector<sched::Placement>& placed);
+  asio::awaitable<void> record_placements(const std::vector<Edit>& edits);
+  // After a write that got no answer: nothing that it could upset is decided until the fences have moved.
+  void fence_off(const std::vector<state::Condition>& when);
+  asio::awaitable<void> raise_fences();
+  void note_shortage(core::PartId part, const sched::Plan& plan, const std::vector<sched::Demand>& demands,
+                     const std::vector<core::Resources>& used);
+  asio::awaitable<void> share_allowances();
+  void drain(World& w);
+  void make_room(core::PartId part, const sched::Plan& plan, std::vector<sched::Demand>& demands,
+                 const RoundView& view, std::size_t machines, core::TimePoint now);
   void start_eviction(const sched::Eviction& e, const sched::Demand& d,
                       const std::vector<sched::Running>& running, core::TimePoint now);
   asio::awaitable<void> move_ranges();
@@ -77,6 +107,8 @@
   asio::awaitable<void> refresh_flavors();
   asio::awaitable<void> refresh_machines();
   asio::awaitable<void> return_machines();
+  struct Wish;
+  std::vector<Wish> wanted_machines(World& w, core::TimePoint now);
   asio::awaitable<void> hire();
 
   // The other controllers.
@@ -94,6 +126,7 @@
   asio::awaitable<http::Response> hello(std::string body);
   http::Response report(const std::string& body);
   http::Response status_of(core::JobId id);
+  bool without_news();
 
   asio::awaitable<void> sleep(double seconds);
   [[nodiscard]] core::Steady::duration jitter(double seconds);
@@ -118,9 +151,16 @@
   core::Timer writer_wake_;
   core::TimePoint next_round_{}, last_round_{};
   std::uint64_t round_version_ = 0;
-  double round_seconds_ = 0;                 // since the round before
-  std::set<std::uint64_t> own_team_stamps_;  // of this round's own commits
-  std::vector<sched::Demand> backlog_;       // what the last round could not place
+  double round_seconds_ = 0;  // since the round before
+  // What a team uses of its allowance in one of our parts, and what it lacks there.
+  struct Shortage {
+    core::PartId part;
+    core::TeamId team;
+    core::Resources used, more, team_used;  // `team_used`: in all parts
+  };
+  std::vector<Shortage> short_of_;
+  core::TimePoint last_unwish_{};
+  std::vector<sched::Demand> backlog_;  // what the last round could not place
   std::vector<core::PartId> backlog_part_;
   std::map<std::string, core::TimePoint> no_capacity_until_;
   std::uint64_t hire_count_ = 0;
@@ -128,6 +168,6 @@
 };
 
 // What the part offers to a job, for dealing.
-std::vector<sched::PartRoom> part_rooms(const World& w, const jobs::JobSpec& spec, core::TimePoint now);
+std::vector<sched::PartRoom> part_rooms(World& w, const jobs::JobSpec& spec, core::TimePoint now);
 
 }  // namespace finchrun::app
--- /dev/null
+++ b/src/app/evictions.cpp
@@ -0,0 +1,147 @@
+// Stopping tasks: on machines that go away, and to make room that a job has a claim to; keeping room for
+// gangs.
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "app/controller.hpp"
+
+namespace finchrun::app {
+namespace {
+
+// Tasks of the part that could be stopped, and what that would cost.
+std::vector<sched::Running> running_in(const World& w, core::PartId part, const std::set<core::JobId>& within,
+                                       core::TimePoint now) {
+  constexpr double kYoung = 30;  // a start that is stopped sooner than this was none, to its user
+  std::vector<sched::Running> out;
+  w.mirror.each_named_machine([&](core::MachineId machine, const std::vector<state::Placed>& list) {
+    for (const auto& [id, in_part, e] : list) {
+      if (in_part != part) continue;
+      const auto* job = w.mirror.job(id);
+      if (!job || job->status != jobs::Status::live) continue;
+      const worker::Start start{id, e.task, e.attempt};
+      if (w.fleet.to_stop.contains(start)) continue;
+      if (w.fleet.facts.contains({id, part, e.task, e.attempt, true}) ||
+          w.fleet.facts.contains({id, part, e.task, e.attempt, false}))
+        continue;
+      const auto seen = w.fleet.seen.find(start);
+      const double ran = seen == w.fleet.seen.end() ? 0 : core::since(seen->second, now);
+      sched::Running r;
+      r.job = id;
+      r.team = job->spec.team;
+      r.task = e.task;
+      r.attempt = e.attempt;
+      r.machine = machine;
+      r.need = job->spec.need;
+      r.priority = static_cast<int>(job->spec.priority);
+      r.gang = job->spec.gang;
+      r.within = within.contains(id);
+      r.loss_s = job->spec.checkpoint_s > 0 ? job->spec.save_s + 5 : ran;
+      if (ran < kYoung) r.loss_s += 20;
+      r.left_s = std::max(job->spec.expect_s - ran, 0.1 * job->spec.expect_s + 1);
+      out.push_back(r);
+    }
+  });
+  return out;
+}
+
+}  // namespace
+
+// Tasks on machines that the cloud is about to take save what they have and start again elsewhere; a gang as
+// a whole.
+void Controller::drain(World& w) {
+  std::set<core::JobId> gangs;
+  const auto stop = [&](core::JobId id, const jobs::JobSpec& spec, const jobs::Entry& e) {
+    const double grace = spec.stop_grace_s();
+    if (w.fleet.to_stop.try_emplace({id, e.task, e.attempt}, grace).second)
+      spdlog::info("drain job={} task={} try={} machine={}", w.names.jobs.name(id), e.task, e.attempt,
+                   w.names.machines.name(e.machine));
+  };
+  for (const auto& [id, m] : w.fleet.all()) {
+    if (!m.notice_s || !m.part.valid() || !w.acting(m.part)) continue;
+    for (const auto& placed : w.mirror.on_machine(id)) {
+      const auto* job = w.mirror.job(placed.job);
+      if (!job || job->status != jobs::Status::live) continue;
+      if (*m.notice_s > job->spec.save_s + 2 * w.s.report_s + 4) continue;
+      if (job->spec.gang) {
+        gangs.insert(placed.job);
+      } else {
+        stop(placed.job, job->spec, placed.entry);
+      }
+    }
+  }
+  for (const auto id : gangs) {
+    w.mirror.each_run(id, [&](core::PartId part, const jobs::RunRecord& run) {
+      if (!w.acting(part)) return;
+      for (const auto& e : run.entries) stop(id, w.mirror.job(id)->spec, e);
+    });
+  }
+}
+
+void Controller::make_room(core::PartId part, const sched::Plan& plan, std::vector<sched::Demand>& demands,
+                           const RoundView& view, std::size_t machines, core::TimePoint now) {
+  if (plan.unplaced.empty()) return;
+  const auto running = world_.with([&](World& w) { return running_in(w, part, view.within, now); });
+  const auto evictions = sched::preempt(plan.nodes, demands, plan.unplaced, running, plan.teams, view.claims);
+  for (const auto& e : evictions) {
+    start_eviction(e, demands[e.demand], running, now);
+    demands[e.demand].has_reservation = true;
+  }
+  // Nodes that were just reserved are kept from the gatherers too.
+  auto nodes = plan.nodes;
+  std::map<core::MachineId, core::JobId> taken;
+  for (const auto& e : evictions)
+    for (const auto id : e.machines) taken[id] = demands[e.demand].job;
+  for (auto& n : nodes)
+    if (const auto t = taken.find(n.id); t != taken.end()) n.reserved_for = t->second;
+  const auto gatherings = sched::gather(nodes, demands, plan.unplaced, running, plan.teams,
+                                        tuning_.gather_patience_s, std::max<std::size_t>(1, machines / 4));
+  world_.with([&](World& w) {
+    for (const auto& g : gatherings) {
+      auto& d = demands[g.demand];
+      d.has_reservation = true;
+      // Estimates are often wrong: after a while the gang looks for other machines.
+      constexpr double kLongest = 60;
+      spdlog::info("gather job={} tasks={} machines={} part={} in_s={:.0f}", w.names.jobs.name(d.job),
+                   d.tasks.size(), g.machines.size(), w.names.parts.name(part), g.in_s);
+      for (const auto id : g.machines) {
+        auto* m = w.fleet.find(id);
+        if (!m) continue;
+        m->reserved_for = d.job;
+        m->reserved_ready = now + core::secs(g.in_s);
+        m->reserved_until = now + core::secs(std::min(kLongest, g.in_s * 1.5 + 2 * w.s.report_s + 5));
+      }
+    }
+  });
+}
+
+void Controller::start_eviction(const sched::Eviction& e, const sched::Demand& d,
+                                const std::vector<sched::Running>& running, core::TimePoint now) {
+  std::map<core::MachineId, std::vector<wire::Order>> stops;
+  world_.with([&](World& w) {
+    double longest = 0;
+    for (const auto v : e.victims) {
+      const auto& r = running[v];
+      // All of a gang must hear it within gang_peer_s of each other, with time to save.
+      const double grace = w.mirror.job(r.job)->spec.stop_grace_s();
+      longest = std::max(longest, grace);
+      w.fleet.to_stop[{r.job, r.task, r.attempt}] = grace;
+      spdlog::info("preempt job={} task={} try={} machine={} for={}", w.names.jobs.name(r.job), r.task,
+                   r.attempt, w.names.machines.name(r.machine), w.names.jobs.name(d.job));
+      stops[r.machine].push_back(
+          {wire::Order::Kind::stop, w.names.jobs.name(r.job), r.task, r.attempt, grace});
+    }
+    for (const auto id : e.machines) {
+      auto* m = w.fleet.find(id);
+      if (!m) continue;
+      m->reserved_for = d.job;
+      m->reserved_ready = now + core::secs(longest);
+      m->reserved_until = now + core::secs(longest + 2 * w.s.report_s + 4);
+    }
+  });
+  for (auto& [machine, orders] : stops)
+    asio::co_spawn(io_, send(machine, std::move(orders), {}), asio::detached);
+}
+
+}  // namespace finchrun::app
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -13,6 +13,8 @@
 
 namespace json = boost::json;
 
+constexpr auto kTellLimit = std::chrono::milliseconds(3000);
+
 json::value claim_value(const std::string& owner, std::uint64_t incarnation) {
   return json::object{{"owner", owner}, {"inc", incarnation}};
 }
@@ -268,52 +270,68 @@
 }
 
 asio::awaitable<void> Controller::push(core::MachineId machine) {
-  const auto [endpoint, token, session] = world_.with([&](World& w) {
+  std::vector<wire::Order> nothing;
+  // No orders: it only makes the worker see the token, so that orders of earlier owners are void, and answer.
+  const auto told = co_await tell(machine, nothing);
+  // The session was not known yet: the answer named it.
+  if (told.status == 409) co_await tell(machine, nothing);
+}
+
+asio::awaitable<Controller::Told> Controller::tell(core::MachineId machine,
+                                                   const std::vector<wire::Order>& orders) {
+  Told told;
+  std::string endpoint;
+  std::uint64_t token = 0, session = 0;
+  world_.with([&](World& w) {
     const auto* m = w.fleet.find(machine);
-    if (!m) return std::tuple(std::string(), std::uint64_t{0}, std::uint64_t{0});
-    return std::tuple(m->endpoint, w.token(m->part), std::max<std::uint64_t>(1, m->session));
+    if (!m || !w.acting(m->part)) return;
+    endpoint = m->endpoint;
+    token = w.token(m->part);
+    session = std::max<std::uint64_t>(1, m->session);
   });
   const auto at = config::parse_endpoint(endpoint);
-  if (!at) co_return;
+  if (!at) co_return told;
   const auto client = network_.connect(*at, 0);
-  // No orders: it only makes the worker see the token, so that orders of earlier owners are void and it
-  // reports.
-  auto answer = co_await client->call(http::Verb::post, "/do", wire::render_push(token, session, {}),
-                                      std::chrono::milliseconds(2000));
-  if (answer.status != 409) co_return;
-  auto report = wire::parse_report(answer.body);
+  const auto answer =
+      co_await client->call(http::Verb::post, "/do", wire::render_push(token, session, orders), kTellLimit);
+  told.status = answer.status;
+  const auto report = wire::parse_report(answer.body);
   const auto* r = std::get_if<wire::Report>(&report);
-  if (!r || r->token > token || r->session == session) co_return;
-  co_await client->call(http::Verb::post, "/do", wire::render_push(token, r->session, {}),
-                        std::chrono::milliseconds(2000));
+  const bool arrived = (answer.status == 200 || answer.status == 409) && r;
+  if (answer.status == 200 && r) told.seq = r->seq;
+  const bool changed = world_.with([&](World& w) {
+    auto* m = w.fleet.find(machine);
+    if (!m) return false;
+    if (!arrived) {
+      if (answer.status == 0 && m->reported && m->session == session) m->doubt(core::Steady::now());
+      return false;
+    }
+    // The answer is a report like any other, and the newest: a new owner need not wait for the next one.
+    const bool news = w.take(*m, *r, core::Steady::now(), true).changed;
+    m->heard();
+    return news;
+  });
+  if (changed) writer_wake_.cancel();
+  co_return told;
 }
 
 asio::awaitable<void> Controller::send(core::MachineId machine, std::vector<wire::Order> orders,
                                        std::vector<worker::Start> starts) {
-  const auto [endpoint, token, session] = world_.with([&](World& w) {
+  const bool go = world_.with([&](World& w) {
     const auto* m = w.fleet.find(machine);
-    if (!m || !m->reported || !w.acting(m->part))
-      return std::tuple(std::string(), std::uint64_t{0}, std::uint64_t{0});
+    if (!m || !m->reported || !w.acting(m->part)) return false;
     for (const auto& s : starts) w.fleet.sent[s] = {w.token(m->part), std::nullopt, core::Steady::now()};
-    return std::tuple(m->endpoint, w.token(m->part), m->session);
+    return true;
   });
-  const auto at = config::parse_endpoint(endpoint);
-  if (!at) co_return;
-  const auto client = network_.connect(*at, 0);
-  const auto answer = co_await client->call(
-      http::Verb::post, "/do", wire::render_push(token, session, orders), std::chrono::milliseconds(3000));
+  if (!go) co_return;
+  const auto told = co_await tell(machine, orders);
   // No answer: the order may be carried out at any later time under this token, so it stays noted.
-  std::optional<std::uint64_t> seq;
-  if (answer.status == 200) {
-    const auto report = wire::parse_report(answer.body);
-    if (const auto* r = std::get_if<wire::Report>(&report)) seq = r->seq;
-  }
   world_.with([&](World& w) {
     for (const auto& s : starts) {
       const auto note = w.fleet.sent.find(s);
       if (note == w.fleet.sent.end()) continue;  // settled meanwhile: nothing to keep
-      if (seq) note->second.answered_seq = seq;
-      if (answer.status == 409 || answer.status == 400) w.fleet.sent.erase(note);
+      if (told.seq) note->second.answered_seq = told.seq;
+      if (told.status == 409 || told.status == 400) w.fleet.sent.erase(note);
     }
   });
 }
@@ -326,7 +344,7 @@
     world_.with([&](World& w) {
       for (auto& [id, m] : w.fleet.all()) {
         if (!m.part.valid() || !w.acting(m.part) || m.endpoint.empty() || m.releasing || m.gone) continue;
-        if (m.reported && m.token >= w.token(m.part)) continue;
+        if (m.reported && m.token >= w.token(m.part) && !m.deaf()) continue;
         if (!m.reported && m.status == "starting") continue;
         if (core::since(m.last_push, now) < 2.5) continue;
         m.last_push = now;
--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -79,7 +79,7 @@
   return world_.with([&](World& w) {
     const auto& name = w.names.jobs.name(id);
     const auto* job = w.mirror.job(id);
-    if (!job) return error(404, "no such job");
+    if (!job) return w.mirror.unreadable(id) ? later("state unknown") : error(404, "no such job");
     if (job->status == jobs::Status::cancelled)
       return http::Response{200, wire::render_status(name, "cancelled")};
     if (job->status == jobs::Status::done)
@@ -90,6 +90,15 @@
   });
 }
 
+// Nothing can be proved or recorded at present, directly or through a member: that is said at once.
+bool Controller::without_news() {
+  constexpr double kPatience = 2.0;
+  const auto now = core::Steady::now();
+  const bool stale =
+      world_.with([&](World& w) { return !w.loaded || core::since(w.synced_at, now) > kPatience; });
+  return stale && !member_with_news();
+}
+
 asio::awaitable<http::Response> Controller::query(const std::string& id) {
   // A final state can't change any more: the copy is proof enough.
   const auto final_id = world_.with([&](World& w) -> std::optional<core::JobId> {
@@ -99,6 +108,7 @@
     return job && job->status != jobs::Status::live ? known : std::nullopt;
   });
   if (final_id) co_return status_of(*final_id);
+  if (without_news()) co_return later("no news from the state service");
   if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
     co_return later("state unknown");
   const auto known = world_.with([&](World& w) { return w.names.jobs.find(id); });
@@ -135,6 +145,9 @@
     jobs::JobRecord record;
     record.spec = spec;
     record.ranges = sched::deal(spec, part_rooms(w, spec, core::Steady::now()));
+    // Those that come in the next moment see that these wait too.
+    for (const auto& r : record.ranges)
+      w.load.waiting.at(r.part.v) += spec.need * static_cast<double>(r.to - r.from);
     txn.when.push_back({state::keys::job(s.id), 0});
     txn.then.push_back({state::keys::job(s.id), jobs::to_json(record, w.names)});
     return Next::go;
@@ -142,6 +155,7 @@
   // 422 and 400 are final to the user, so they are only given when this node is sure that the job is not
   // known.
   if (next == Next::undecided) co_return later("not ready to decide");
+  if (without_news()) co_return later("no news from the state service");
   if (next == Next::never) {
     if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
       co_return later("state unknown");
@@ -191,6 +205,7 @@
       return Next::go;
     });
     if (next == Next::final) co_return status_of(job_id);
+    if (without_news()) co_return later("no news from the state service");
     if (next == Next::go) {
       // Not held up by the write budget: cancellations must not be starved by anything.
       store_.spend(1);
@@ -225,17 +240,20 @@
       return http::Response{421, wire::render_moved(owner)};
     }
     if (!w.news_fresh(now)) return later("no news from the state service");
+    // A late copy, or the cloud is slower than its answer: it does not bring the machine back.
+    if (w.fleet.was_deleted(w.names, r.machine)) return later("machine was returned");
     auto& m = w.fleet.intern(w.names, r.machine);
     if (m.first_seen == core::TimePoint{}) m.first_seen = now;
     m.type = w.names.types.intern(r.type);
     m.zone = *zone;
     m.part = *part;
     m.spot = r.spot;
-    auto result = worker::take_report({w.names, w.mirror, w.fleet, w.trouble, w.token(*part), now}, m, r);
+    auto result = w.take(m, r, now, false);
     if (result.kind == worker::ReportResult::Kind::deposed)
       return http::Response{421, wire::render_moved(std::nullopt)};
-    if (result.kind == worker::ReportResult::Kind::outdated) return later("outdated");
     changed = result.changed;
+    // An older report changes nothing and is answered without orders: an answer to one of our direct orders
+    // may have overtaken it, and turning its worker away would only send it round the other controllers.
     return http::Response{200, wire::render_orders(w.token(*part), result.orders)};
   });
   if (changed) writer_wake_.cancel();
--- /dev/null
+++ b/src/app/waiting.hpp
@@ -0,0 +1,28 @@
+// Which tasks of a job wait, by the records of all parts.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/ids.hpp"
+#include "state/mirror.hpp"
+
+namespace finchrun::app {
+
+class WaitingTasks {
+ public:
+  WaitingTasks(const state::Mirror& mirror, core::JobId id);
+
+  [[nodiscard]] bool any() const { return any_; }
+  // In ranges that belong to the part.
+  [[nodiscard]] std::uint32_t count(core::PartId part) const;
+  // The first of them, at most so many.
+  [[nodiscard]] std::vector<std::uint32_t> first(core::PartId part, std::size_t most) const;
+
+ private:
+  const jobs::JobRecord* job_;
+  bool any_ = false;
+  std::vector<bool> busy_;  // by task: done, or possibly on a machine
+};
+
+}  // namespace finchrun::app
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -21,6 +21,8 @@
             ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
       usage_from(parts.size(), 0),
       owner_missing_since(parts.size()),
+      fence_due(parts.size(), 0),
+      fenced_at(parts.size(), 0),
       acting_since(parts.size()) {
   for (const auto& team : s.teams)
     shares.push_back(team.gpus > 0 ? team.gpus : team.cpus > 0 ? team.cpus : 1.0);
@@ -28,24 +30,56 @@
 
 core::Resources World::used_on(core::MachineId id) const {
   core::Resources used;
-  for (const auto& [key, run] : mirror.runs()) {
-    const auto* job = mirror.job(key.first);
-    for (const auto& e : run.entries)
-      if (e.machine == id && job) used += job->spec.need;
-  }
+  for (const auto& p : mirror.on_machine(id))
+    if (const auto* job = mirror.job(p.job)) used += job->spec.need;
+  return used;
+}
+
+std::vector<std::vector<core::Resources>> World::used_by_part() const {
+  std::vector<std::vector<core::Resources>> used(parts.size(), std::vector<core::Resources>(s.teams.size()));
+  mirror.each_run([&](state::RunKey key, const jobs::RunRecord& run) {
+    const auto* job = run.entries.empty() ? nullptr : mirror.job(key.first);
+    if (!job || job->spec.team.v >= s.teams.size()) return;
+    used[key.second.v][job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
+  });
   return used;
 }
 
 std::vector<core::Resources> World::used_by_team() const {
   std::vector<core::Resources> used(s.teams.size());
-  for (const auto& [key, run] : mirror.runs()) {
-    const auto* job = mirror.job(key.first);
-    if (!job || !job->spec.team.valid() || job->spec.team.v >= used.size()) continue;
-    used[job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
-  }
+  for (const auto& part : used_by_part())
+    for (std::size_t t = 0; t < used.size(); ++t) used[t] += part[t];
   return used;
 }
 
+ledger::Allowances World::allowances(core::TeamId team) const {
+  const auto& t = s.teams.at(team.v);
+  ledger::Allowances out({t.cpus_max, t.gpus_max, 0}, parts.size());
+  const auto& record = mirror.team(team);
+  for (std::size_t p = 0; p < record.parts.size(); ++p)
+    out.set(core::PartId{static_cast<std::uint32_t>(p)}, record.parts[p].first, record.parts[p].second);
+  return out;
+}
+
+std::set<core::JobId> World::within_guarantee() const {
+  std::vector<std::pair<double, core::JobId>> by_age;
+  for (const auto id : mirror.live()) by_age.emplace_back(mirror.job(id)->spec.submitted_s, id);
+  std::sort(by_age.begin(), by_age.end());
+  std::vector<core::Resources> asked(s.teams.size());
+  std::set<core::JobId> out;
+  for (const auto& [_, id] : by_age) {
+    const auto& spec = mirror.job(id)->spec;
+    if (spec.team.v >= s.teams.size()) continue;
+    const auto& team = s.teams.at(spec.team.v);
+    auto& sum = asked[spec.team.v];
+    sum += spec.need * static_cast<double>(spec.tasks - std::min(spec.tasks, mirror.done(id)));
+    const bool gpus = team.gpus <= 0 ? spec.need.gpus <= 0 : sum.gpus <= team.gpus + core::Resources::kSlack;
+    const bool cpus = team.cpus <= 0 || sum.cpus <= team.cpus + core::Resources::kSlack;
+    if ((team.gpus > 0 || team.cpus > 0) && gpus && cpus) out.insert(id);
+  }
+  return out;
+}
+
 bool World::patient(const jobs::JobSpec& spec, double now_s) const {
   if (!spec.due_s) return false;
   bool deadline = false;
@@ -74,9 +108,17 @@
   for (std::size_t l = 0; l < lanes.size(); ++l) lanes[l].tasks = std::max(now[l], lanes[l].tasks * kFade);
 }
 
+worker::ReportResult World::take(worker::Machine& m, const wire::Report& r, core::TimePoint now,
+                                 bool direct) {
+  constexpr double kFresh = 2.0;
+  const bool may_start = core::since(synced_at, now) < kFresh;
+  return worker::take_report(
+      {names, mirror, fleet, trouble, token(m.part), now, s.lease_s, may_start, direct}, m, r);
+}
+
 bool World::usable(const worker::Machine& m, core::TimePoint now) const {
-  return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing &&
-         m.strangers == 0 && core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
+  return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing && !m.gone &&
+         !m.deaf() && m.strangers == 0 && core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
 }
 
 }  // namespace finchrun::app
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
 #include "config/settings.hpp"
+#include "ledger/allowance.hpp"
 #include "ledger/usage.hpp"
 #include "membership/parts.hpp"
 #include "sched/place.hpp"
@@ -15,6 +17,20 @@
 
 namespace finchrun::app {
 
+// What waits and what is free, part by part: kept for a moment, since every submission asks.
+struct Load {
+  struct Free {
+    core::PartId part;
+    core::TypeId type;
+    bool spot = false;
+    core::Resources size, free;
+  };
+  core::TimePoint at{};
+  std::vector<core::Resources> waiting;         // by part
+  std::vector<std::set<core::ImageId>> images;  // by part
+  std::vector<Free> machines;
+};
+
 struct World {
   World(const config::Settings& settings, const config::Tuning& tuning);
 
@@ -30,12 +46,18 @@
   std::vector<sched::LaneProfile> lanes;    // by lane: what its jobs look like, how many tasks it has lately
   std::vector<double> shares;               // by team, from its guarantee
 
+  Load load;
+
   std::uint64_t incarnation = 0;  // of this process; 0: not a member yet
   std::uint64_t hold = 0;
   std::uint64_t joined_epoch = 0;  // of the write of our member key
   bool loaded = false;             // the mirror has been filled once
   core::TimePoint synced_at{};     // when the newest answered read of the changes was sent
   std::vector<core::TimePoint> owner_missing_since;
+  // By part: a placement got no answer and may be applied at any later time. Nothing more is placed, and no
+  // allowance given away, until the part's fence has moved, which makes the late one fail.
+  std::vector<char> fence_due;
+  std::vector<std::uint64_t> fenced_at;  // epoch of the last move: everything until then must be known first
   std::vector<core::TimePoint> acting_since;  // by part; meaningful while acting for it
 
   // How long the worker has been silent towards this controller. What it told an earlier owner is not known,
@@ -79,7 +101,14 @@
   // A job of a lane of which only deadlines are asked, with time left to start later and still make it.
   [[nodiscard]] bool patient(const jobs::JobSpec& spec, double now_s) const;
   [[nodiscard]] core::Resources used_on(core::MachineId id) const;
+  // Booked by each team in each part: [part][team].
+  [[nodiscard]] std::vector<std::vector<core::Resources>> used_by_part() const;
   [[nodiscard]] std::vector<core::Resources> used_by_team() const;
+  [[nodiscard]] ledger::Allowances allowances(core::TeamId team) const;
+  // Jobs that fit their team's guarantee together with the team's earlier unfinished jobs.
+  [[nodiscard]] std::set<core::JobId> within_guarantee() const;
+  // What a report of the machine, or its answer to a direct order, tells; what it should be told.
+  worker::ReportResult take(worker::Machine& m, const wire::Report& r, core::TimePoint now, bool direct);
   // Is the machine up and does its worker obey this controller?
   [[nodiscard]] bool usable(const worker::Machine& m, core::TimePoint now) const;
 };
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 namespace finchrun::cloud {
@@ -36,7 +39,8 @@
 
 Cloud::Cloud(http::Network& network, const config::Settings& s)
     : client_(network.connect(s.cloud, 2)),
-      budget_(s.cloud_rps / s.nodes, std::max(2.0, 2 * s.cloud_rps / s.nodes), core::Steady::now()) {}
+      rate_(s.cloud_rps / s.nodes),
+      budget_(rate_, std::max(2.0, 2 * rate_), core::Steady::now()) {}
 
 asio::awaitable<http::Answer> Cloud::call(http::Verb verb, std::string target, std::string body) {
   if (!budget_.take(1, 0, core::Steady::now())) co_return http::Answer{429, {}};
@@ -74,9 +78,16 @@
   std::vector<Listed> out;
   std::string after;
   for (int page = 0; page < 200; ++page) {
+    pages_ = std::max(pages_, page + 1);
+    // A long list outlasts a burst of the budget: its next page waits for its turn rather than failing.
+    while (!budget_.take(1, 0, core::Steady::now())) {
+      core::Timer timer(co_await asio::this_coro::executor, core::secs(0.5 / rate_));
+      boost::system::error_code ec;
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
     std::string target = "/hosts?limit=500";
     if (!after.empty()) target += "&from=" + after;
-    http::Answer answer = co_await call(http::Verb::get, std::move(target), {});
+    http::Answer answer = co_await client_->call(http::Verb::get, std::move(target), {}, 5000ms);
     auto v = parse(answer);
     if (!v) co_return std::nullopt;
     bool more = false;
--- a/src/cloud/cloud.hpp
+++ b/src/cloud/cloud.hpp
@@ -38,6 +38,8 @@
   asio::awaitable<std::optional<std::vector<Flavor>>> flavors();
   // The whole list, page by page; nothing if any page failed.
   asio::awaitable<std::optional<std::vector<Listed>>> machines();
+  // How often the whole list can be read so that half of the budget is left for renting and returning.
+  [[nodiscard]] double list_every_s() const { return 2 * static_cast<double>(pages_) / rate_; }
   asio::awaitable<Hired> hire(std::string request, std::string type, std::string zone, bool spot, int count);
   // True once the machines, and everything on them, are certainly gone. At most 100 names.
   asio::awaitable<bool> release(std::vector<std::string> names);
@@ -45,7 +47,9 @@
  private:
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body);
   std::unique_ptr<http::Transport> client_;
+  double rate_;  // requests a second that this controller may send
   state::Budget budget_;
+  int pages_ = 1;  // of the newest list
 };
 
 }  // namespace finchrun::cloud
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -79,7 +79,8 @@
   double flush_s = 0.25;       // batching of records into writes
   double sync_s = 0.25;        // longest wait between reads of the store's changes
   double idle_return_s = 600;  // a hired machine idle for this long is returned
-  int hire_batch = 4;          // most machines asked for in one rental request
+  int hire_batch = 4;          // most machines asked for in one rental request, while half the need is less
+  double gather_patience_s = 10;  // a gang that has waited for longer has room kept for it
 };
 
 Tuning load_properties(const std::string& path);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,5 +1,6 @@
 #include "jobs/job.hpp"
 
+#include <map>
 #include <stdexcept>
 
 namespace finchrun::jobs {
@@ -108,10 +109,17 @@
   return r;
 }
 
+// Entries are grouped by attempt and machine: those of a large array then fit the service's limit on values.
 json::value to_json(const RunRecord& r, const Names& names) {
+  std::map<std::uint64_t, std::map<std::pair<core::MachineId, std::uint64_t>, json::array>> groups;
+  for (const auto& e : r.entries) groups[e.attempt][{e.machine, e.session}].push_back(e.task);
   json::array entries;
-  for (const auto& e : r.entries)
-    entries.push_back(json::array{e.task, e.attempt, names.machines.name(e.machine), e.session});
+  for (auto& [attempt, machines] : groups) {
+    json::array list;
+    for (auto& [at, tasks] : machines)
+      list.push_back(json::array{names.machines.name(at.first), at.second, std::move(tasks)});
+    entries.push_back(json::array{attempt, std::move(list)});
+  }
   json::array done;
   for (const auto& [a, b] : r.done.spans()) done.push_back(json::array{a, b});
   return json::object{{"p", std::move(entries)}, {"d", std::move(done)}};
@@ -122,8 +130,19 @@
   RunRecord r;
   for (const auto& item : o.at("p").as_array()) {
     const auto& a = item.as_array();
-    r.entries.push_back({static_cast<std::uint32_t>(whole(a.at(0))), whole(a.at(1)),
-                         names.machines.intern(a.at(2).as_string()), whole(a.at(3))});
+    if (a.size() == 4) {  // as written before entries were grouped
+      r.entries.push_back({static_cast<std::uint32_t>(whole(a.at(0))), whole(a.at(1)),
+                           names.machines.intern(a.at(2).as_string()), whole(a.at(3))});
+      continue;
+    }
+    const auto attempt = whole(a.at(0));
+    for (const auto& group : a.at(1).as_array()) {
+      const auto& g = group.as_array();
+      const auto machine = names.machines.intern(g.at(0).as_string());
+      const auto session = whole(g.at(1));
+      for (const auto& task : g.at(2).as_array())
+        r.entries.push_back({static_cast<std::uint32_t>(whole(task)), attempt, machine, session});
+    }
   }
   for (const auto& item : o.at("d").as_array()) {
     const auto& a = item.as_array();
@@ -132,4 +151,12 @@
   return r;
 }
 
+std::size_t room_for_entries(const RunRecord& r, double value_kb) {
+  // An entry on a machine of its own, and the interval that it leaves in the set of done tasks.
+  constexpr double kEntry = 40, kSpan = 18, kFrame = 100;
+  const double left = value_kb * 1024 * 0.9 - kFrame - kSpan * static_cast<double>(r.done.spans().size()) -
+                      kEntry * static_cast<double>(r.entries.size());
+  return left <= 0 ? 0 : static_cast<std::size_t>(left / kEntry);
+}
+
 }  // namespace finchrun::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -99,6 +99,9 @@
 
 json::value to_json(const JobRecord& r, const Names& names);
 json::value to_json(const RunRecord& r, const Names& names);
+// How many more entries the record can take and stay within the service's limit on values, however its tasks
+// end.
+std::size_t room_for_entries(const RunRecord& r, double value_kb);
 // These throw on records that make no sense: they are ours, so that is a bug or a newer version.
 JobRecord job_from_json(const json::value& v, Names& names);
 RunRecord run_from_json(const json::value& v, Names& names);
--- a/src/membership/parts.hpp
+++ b/src/membership/parts.hpp
@@ -22,7 +22,8 @@
 
 // One part a zone unless there are several controllers for each zone: a gang then stays within a part.
 inline int parts_per_zone(const config::Settings& s, const config::Tuning& t) {
-  return t.parts_per_zone > 0 ? t.parts_per_zone : std::max(1, s.nodes / static_cast<int>(s.zones.size()));
+  return t.parts_per_zone > 0 ? t.parts_per_zone
+                              : std::max(1, s.nodes / (2 * static_cast<int>(s.zones.size())));
 }
 
 class PartMap {
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -1,6 +1,7 @@
 #include "sched/place.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 
 namespace finchrun::sched {
@@ -53,22 +54,46 @@
   return cost;
 }
 
-Node* best_node(std::vector<Node>& nodes, const Demand& d) {
-  Node* best = nullptr;
-  double best_cost = 0;
-  for (auto& n : nodes) {
-    if (!d.need.fits(n.free) || !allowed(d, n)) continue;
-    if (n.reserved_for.valid() && n.reserved_for != d.job) continue;
-    const double cost = cost_here(d, n);
-    if (!best || cost < best_cost) best = &n, best_cost = cost;
+// The demand's open machines, cheapest first; of two that cost the same the earlier one. Taking a machine
+// changes the cost of that machine only, so a job's tasks cost one look at all machines and then a step each.
+class Choice {
+ public:
+  Choice(std::vector<Node>& nodes, const Demand& d) : nodes_(nodes), d_(d) {
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      if (d.need.fits(nodes[i].free) && allowed(d, nodes[i]) && open_to(d, nodes[i]))
+        heap_.emplace_back(cost_here(d, nodes[i]), i);
+    std::make_heap(heap_.begin(), heap_.end(), std::greater<>());
+  }
+  // Takes room for one task on the cheapest machine; nothing if there is none.
+  std::optional<std::size_t> take() {
+    if (heap_.empty()) return std::nullopt;
+    std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
+    const auto i = heap_.back().second;
+    heap_.pop_back();
+    Node& n = nodes_[i];
+    n.free -= d_.need;
+    if (!holds(n, d_.image)) {
+      n.images.push_back(d_.image);
+      fetching_.push_back(i);
+    }
+    if (d_.need.fits(n.free)) {
+      heap_.emplace_back(cost_here(d_, n), i);
+      std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
+    }
+    return i;
+  }
+  // Gives back what was taken: a gang that does not fit as a whole starts nothing.
+  void undo(const std::vector<std::size_t>& taken) {
+    for (const auto i : taken) nodes_[i].free += d_.need;
+    for (const auto i : fetching_) nodes_[i].images.pop_back();
   }
-  return best;
-}
 
-void take(Node& n, const Demand& d) {
-  n.free -= d.need;
-  if (!holds(n, d.image)) n.images.push_back(d.image);
-}
+ private:
+  std::vector<Node>& nodes_;
+  const Demand& d_;
+  std::vector<std::pair<double, std::size_t>> heap_;
+  std::vector<std::size_t> fetching_;
+};
 
 }  // namespace
 
@@ -85,6 +110,13 @@
   }
 }
 
+bool open_to(const Demand& d, const Node& n) {
+  if (!n.reserved_for.valid() || n.reserved_for == d.job) return true;
+  // Estimates are often wrong by half.
+  const double fetch = holds(n, d.image) ? 0 : 2 + d.image_gb / std::max(n.fetch_gb_per_s, 0.01);
+  return !d.gang && fetch + d.expect_s * 1.5 < n.reserved_in_s;
+}
+
 bool allowed(const Demand& d, const Node& n) {
   if (n.spot && !d.spot) return false;
   if (d.zone && *d.zone != n.zone) return false;
@@ -103,39 +135,40 @@
   for (const auto index : order) {
     const Demand& d = demands[index];
     TeamRoom& team = teams.at(d.team.v);
-    const std::size_t before = plan.placements.size();
     if (d.gang) {
       const auto all = d.need * static_cast<double>(d.tasks.size());
       bool complete = d.tasks.size() <= d.room_in_zone && team.allows(all);
-      std::vector<Node> trial;
-      if (complete) trial = nodes;
-      for (std::size_t i = 0; complete && i < d.tasks.size(); ++i) {
-        Node* n = best_node(trial, d);
-        if (!n) {
-          complete = false;
-          break;
+      if (complete) {
+        Choice choice(nodes, d);
+        std::vector<std::size_t> taken;
+        while (taken.size() < d.tasks.size()) {
+          const auto i = choice.take();
+          if (!i) break;
+          taken.push_back(*i);
         }
-        take(*n, d);
-        plan.placements.push_back({index, d.tasks[i], n->id});
+        complete = taken.size() == d.tasks.size();
+        if (!complete) choice.undo(taken);
+        for (std::size_t i = 0; complete && i < taken.size(); ++i)
+          plan.placements.push_back({index, d.tasks[i], nodes[taken[i]].id});
       }
       if (!complete) {
-        plan.placements.resize(before);
         plan.unplaced.push_back(index);
         continue;
       }
-      nodes = std::move(trial);
       team.used += all;
       continue;
     }
     std::uint32_t placed = 0;
-    for (const auto task : d.tasks) {
-      if (placed >= d.room_in_zone || !team.allows(d.need)) break;
-      Node* n = best_node(nodes, d);
-      if (!n) break;
-      take(*n, d);
-      team.used += d.need;
-      plan.placements.push_back({index, task, n->id});
-      ++placed;
+    if (team.allows(d.need)) {
+      Choice choice(nodes, d);
+      for (const auto task : d.tasks) {
+        if (placed >= d.room_in_zone || !team.allows(d.need)) break;
+        const auto i = choice.take();
+        if (!i) break;
+        team.used += d.need;
+        plan.placements.push_back({index, task, nodes[*i].id});
+        ++placed;
+      }
     }
     if (placed < d.count) plan.unplaced.push_back(index);
   }
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -21,7 +21,8 @@
   std::vector<core::ImageId> images;  // cached, or being fetched
   double fetch_gb_per_s = 1;
   std::vector<double> wanted;  // by lane: how much the lane needs machines like this one
-  core::JobId reserved_for;    // room was made here for this job: no other takes it
+  core::JobId reserved_for;    // room is kept here for this job: others only while they end in time
+  double reserved_in_s = 0;    // how long it will be until that job can start here
   double risk = 0;             // seconds that starting here is expected to cost more than elsewhere
 };
 
@@ -40,10 +41,12 @@
   std::vector<std::uint32_t> tasks;  // the first of them; for a gang all
   std::uint32_t room_in_zone = 0;    // how many more tasks this zone may take (`spread`)
   double waited_s = 0;
+  double expect_s = 0;  // the owner's estimate of a task's run time
   core::LaneId lane;
-  bool guaranteed = false;       // fits its team's guarantee together with the team's earlier unfinished jobs
+  bool within = false;           // fits its team's guarantee together with the team's earlier unfinished jobs
+  bool guaranteed = false;       // and has waited for longer than room needs to come free by itself
   bool patient = false;          // only its deadline counts, and that is still far
-  bool has_reservation = false;  // room is being made for it already
+  bool has_reservation = false;  // room is being made or kept for it already
 };
 
 // What jobs of a lane look like lately, and how many of their tasks run or wait.
@@ -80,6 +83,10 @@
 // that the fleet has for them. Filled into `Node::wanted`.
 void mark_wanted(std::vector<Node>& nodes, const std::vector<LaneProfile>& lanes);
 
+// May the demand start on a machine where room is kept? Its own does; another only if it will be over in
+// time.
+bool open_to(const Demand& d, const Node& n);
+
 // True if the machine is of a type, zone and kind that the job allows.
 bool allowed(const Demand& d, const Node& n);
 
--- a/src/sched/preempt.hpp
+++ b/src/sched/preempt.hpp
@@ -17,7 +17,9 @@
   core::Resources need;
   int priority = 0;
   bool gang = false;
-  double loss_s = 0;  // work lost and time spent if it is stopped now
+  bool within = false;  // of a job within its team's guarantee
+  double loss_s = 0;    // work lost and time spent if it is stopped now
+  double left_s = 0;    // how long it is expected to go on
 };
 
 struct TeamClaim {
@@ -38,6 +40,9 @@
   std::vector<core::MachineId> machines;  // where the demand's tasks shall go
 };
 
+// Could the demand make anything of this stop? False for most, at the price of one comparison.
+bool may_preempt(const Demand& d, int lowest_running);
+
 // For the unplaced demands, in the plan's order. `nodes` as they are after placing. Stops nothing that the
 // protocol's preemption rules protect: work of equal or higher priority, unless its team is beyond its
 // guarantee and the waiting job within that of its own.
@@ -45,4 +50,18 @@
                               const std::vector<std::size_t>& unplaced, const std::vector<Running>& running,
                               std::vector<TeamRoom> rooms, std::vector<TeamClaim> claims);
 
+// Room that is kept for a gang until it has come free on enough machines.
+struct Gathering {
+  std::size_t demand = 0;
+  std::vector<core::MachineId> machines;
+  double in_s = 0;  // when the last of them is expected to be free
+};
+
+// For gangs that have waited for longer than `patience_s` and may stop nothing: without it a stream of small
+// jobs takes every place that comes free, and a large gang never starts. At most `most` of the machines are
+// kept at a time, those counted that are kept already.
+std::vector<Gathering> gather(const std::vector<Node>& nodes, const std::vector<Demand>& demands,
+                              const std::vector<std::size_t>& unplaced, const std::vector<Running>& running,
+                              const std::vector<TeamRoom>& rooms, double patience_s, std::size_t most);
+
 }  // namespace finchrun::sched
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <stdexcept>
+
 namespace finchrun::state {
 namespace {
 
@@ -23,6 +26,7 @@
 std::string member(const std::string& label) { return "members/" + label; }
 std::string team(const std::string& team) { return "teams/" + team; }
 std::string usage(const std::string& part) { return "usage/" + part; }
+std::string fence(const std::string& part) { return "fence/" + part; }
 }  // namespace keys
 
 void Mirror::apply(const Event& e) {
@@ -34,17 +38,20 @@
   try {
     if (table == "jobs") {
       const auto id = names_.jobs.intern(rest);
-      auto& slot = jobs_[id];
-      if (e.stamp <= slot.stamp) return;
+      auto& at = slot(id);
+      if (e.stamp <= at.job.stamp) return;
       ++version_;
+      unreadable_.erase(id);
       if (gone) {
-        jobs_.erase(id);
+        at.job = {};
+        at.known = false;
         live_.erase(id);
         return;
       }
-      slot = jobs::job_from_json(*e.value, names_);
-      slot.stamp = e.stamp;
-      if (slot.status == jobs::Status::live) {
+      at.job = jobs::job_from_json(*e.value, names_);
+      at.job.stamp = e.stamp;
+      at.known = true;
+      if (at.job.status == jobs::Status::live) {
         live_.insert(id);
       } else {
         live_.erase(id);
@@ -53,16 +60,7 @@
       const auto [job, part_name] = split(rest);
       const auto part = names_.parts.find(part_name);
       if (!part) return;
-      const RunKey key{names_.jobs.intern(job), *part};
-      auto& slot = runs_[key];
-      if (e.stamp <= slot.stamp) return;
-      ++version_;
-      if (gone) {
-        runs_.erase(key);
-        return;
-      }
-      slot = jobs::run_from_json(*e.value, names_);
-      slot.stamp = e.stamp;
+      apply_run({names_.jobs.intern(job), *part}, e);
     } else if (table == "parts") {
       const auto part = names_.parts.find(rest);
       if (!part || gone) return;
@@ -79,8 +77,21 @@
       }
     } else if (table == "teams") {
       const auto team = names_.teams.find(rest);
-      if (!team || team->v >= team_stamps_.size()) return;
-      team_stamps_[team->v] = std::max(team_stamps_[team->v], e.stamp);
+      if (!team || team->v >= teams_.size() || gone || e.stamp <= teams_[team->v].stamp) return;
+      TeamRecord next;
+      next.stamp = e.stamp;
+      next.parts.resize(claims_.size());
+      for (const auto& item : e.value->at("parts").as_object()) {
+        const auto part = names_.parts.find(std::string_view(item.key()));
+        if (!part) throw std::runtime_error("allowance of an unknown part");
+        const auto& a = item.value().as_array();
+        const auto real = [&](std::size_t i) { return a.at(i).to_number<double>(); };
+        next.parts.at(part->v) = {{real(0), real(1), 0}, {real(2), real(3), 0}};
+      }
+      teams_[team->v] = std::move(next);
+    } else if (table == "fence") {
+      const auto part = names_.parts.find(rest);
+      if (part) fences_.at(part->v) = std::max(fences_.at(part->v), e.stamp);
     } else if (table == "usage") {
       const auto part = names_.parts.find(rest);
       if (!part || gone) return;
@@ -98,6 +109,10 @@
     }
   } catch (const std::exception& x) {
     spdlog::error("state: record {} makes no sense: {}", e.key, x.what());
+    if (table != "jobs") return;
+    // Never taken for absence: its user would be told that an accepted job is unknown.
+    const auto id = names_.jobs.intern(rest);
+    unreadable_.insert(id);
   }
 }
 
@@ -108,40 +123,96 @@
 }
 
 void Mirror::reset() {
-  jobs_.clear();
+  slots_.clear();
+  with_runs_.clear();
   live_.clear();
-  runs_.clear();
+  unreadable_.clear();
+  on_machine_.clear();
   members_.clear();
   deleted_.clear();
   claims_.assign(claims_.size(), {});
-  team_stamps_.assign(team_stamps_.size(), 0);
+  teams_.assign(teams_.size(), {});
+  fences_.assign(fences_.size(), 0);
   usage_.assign(usage_.size(), {});
   epoch_ = 0;
 }
 
-const jobs::JobRecord* Mirror::job(core::JobId id) const {
-  auto it = jobs_.find(id);
-  return it == jobs_.end() ? nullptr : &it->second;
+Mirror::Slot& Mirror::slot(core::JobId id) {
+  if (id.v >= slots_.size()) slots_.resize(id.v + 1);
+  return slots_[id.v];
 }
 
-const jobs::RunRecord* Mirror::run(RunKey key) const {
-  auto it = runs_.find(key);
-  return it == runs_.end() ? nullptr : &it->second;
+void Mirror::apply_run(RunKey key, const Event& e) {
+  auto& at = slot(key.first);
+  auto it =
+      std::find_if(at.runs.begin(), at.runs.end(), [&](const auto& r) { return r.first == key.second; });
+  if (it != at.runs.end() && e.stamp <= it->second.stamp) return;
+  // Read before the old record goes: one that makes no sense must not be taken for absence.
+  std::optional<jobs::RunRecord> next;
+  if (e.value) {
+    next = jobs::run_from_json(*e.value, names_);
+    next->stamp = e.stamp;
+  }
+  ++version_;
+  if (it != at.runs.end()) {
+    unindex(key, it->second);
+    at.runs.erase(it);
+  }
+  if (next) {
+    index(key, *next);
+    const auto after =
+        std::find_if(at.runs.begin(), at.runs.end(), [&](const auto& r) { return r.first > key.second; });
+    at.runs.insert(after, {key.second, std::move(*next)});
+  }
+  if (at.runs.empty()) {
+    with_runs_.erase(key.first);
+  } else {
+    with_runs_.insert(key.first);
+  }
+  at.done = at.placed = 0;
+  for (const auto& [_, run] : at.runs) {
+    at.done += run.done.size();
+    at.placed += static_cast<std::uint32_t>(run.entries.size());
+  }
 }
 
-std::uint32_t Mirror::done(core::JobId id) const {
-  std::uint32_t n = 0;
-  each_run(id, [&](core::PartId, const jobs::RunRecord& r) { n += r.done.size(); });
-  return n;
+void Mirror::index(RunKey key, const jobs::RunRecord& run) {
+  for (const auto& e : run.entries) on_machine_[e.machine].push_back({key.first, key.second, e});
 }
 
-std::uint32_t Mirror::placed(core::JobId id) const {
-  std::uint32_t n = 0;
-  each_run(
-      id, [&](core::PartId, const jobs::RunRecord& r) { n += static_cast<std::uint32_t>(r.entries.size()); });
-  return n;
+void Mirror::unindex(RunKey key, const jobs::RunRecord& run) {
+  for (const auto& e : run.entries) {
+    const auto it = on_machine_.find(e.machine);
+    if (it == on_machine_.end()) continue;
+    std::erase_if(it->second, [&](const Placed& p) {
+      return p.job == key.first && p.part == key.second && p.entry.task == e.task &&
+             p.entry.attempt == e.attempt;
+    });
+    if (it->second.empty()) on_machine_.erase(it);
+  }
 }
 
+const std::vector<Placed>& Mirror::on_machine(core::MachineId id) const {
+  static const std::vector<Placed> nothing;
+  const auto it = on_machine_.find(id);
+  return it == on_machine_.end() ? nothing : it->second;
+}
+
+const jobs::JobRecord* Mirror::job(core::JobId id) const {
+  return id.v < slots_.size() && slots_[id.v].known ? &slots_[id.v].job : nullptr;
+}
+
+const jobs::RunRecord* Mirror::run(RunKey key) const {
+  if (key.first.v >= slots_.size()) return nullptr;
+  for (const auto& [part, run] : slots_[key.first.v].runs)
+    if (part == key.second) return &run;
+  return nullptr;
+}
+
+std::uint32_t Mirror::done(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].done : 0; }
+
+std::uint32_t Mirror::placed(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].placed : 0; }
+
 const Member* Mirror::member(const std::string& label) const {
   auto it = members_.find(label);
   return it == members_.end() ? nullptr : &it->second;
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -26,12 +26,23 @@
   std::uint64_t incarnation = 0;
   std::uint64_t stamp = 0;  // the part's term
 };
+// What the parts' owners have agreed on about a team's limit; empty lists: equal shares.
+struct TeamRecord {
+  std::vector<std::pair<core::Resources, core::Resources>> parts;  // by part: share, wish
+  std::uint64_t stamp = 0;
+};
 struct UsageRecord {
   std::int64_t index = 0;
   std::deque<std::vector<double>> windows;
   std::uint64_t stamp = 0;
 };
 using RunKey = std::pair<core::JobId, core::PartId>;
+// An entry of some run record, as found by its machine.
+struct Placed {
+  core::JobId job;
+  core::PartId part;
+  jobs::Entry entry;
+};
 
 namespace keys {
 std::string job(const std::string& id);
@@ -40,12 +51,13 @@
 std::string member(const std::string& label);
 std::string team(const std::string& team);
 std::string usage(const std::string& part);
+std::string fence(const std::string& part);
 }  // namespace keys
 
 class Mirror {
  public:
   Mirror(jobs::Names& names, std::size_t parts, std::size_t teams)
-      : names_(names), claims_(parts), team_stamps_(teams, 0), usage_(parts) {}
+      : names_(names), claims_(parts), teams_(teams), fences_(parts, 0), usage_(parts) {}
 
   // Applies one change. Older ones than what is known are passed over, so repeats do no harm.
   void apply(const Event& e);
@@ -59,36 +71,66 @@
 
   // Moves with every change of a job or of what runs.
   [[nodiscard]] std::uint64_t version() const { return version_; }
-  [[nodiscard]] const std::unordered_map<core::JobId, jobs::JobRecord>& jobs() const { return jobs_; }
   [[nodiscard]] const jobs::JobRecord* job(core::JobId id) const;
+  // A record of this job exists that this build can't read: the job is known, and nothing else about it.
+  [[nodiscard]] bool unreadable(core::JobId id) const { return unreadable_.contains(id); }
   // Jobs that are accepted and not over.
   [[nodiscard]] const std::set<core::JobId>& live() const { return live_; }
-  [[nodiscard]] const std::map<RunKey, jobs::RunRecord>& runs() const { return runs_; }
+  // Calls f(key, record) for each run record of all jobs.
+  template <class F>
+  void each_run(F&& f) const {
+    for (const auto id : with_runs_)
+      for (const auto& [part, run] : slots_[id.v].runs) f(RunKey{id, part}, run);
+  }
   [[nodiscard]] const jobs::RunRecord* run(RunKey key) const;
   // Done tasks of a job over all parts.
   [[nodiscard]] std::uint32_t done(core::JobId id) const;
   [[nodiscard]] std::uint32_t placed(core::JobId id) const;
+  // Everything that may be on the machine: a report or a round looks at one machine's entries, never at all
+  // records.
+  [[nodiscard]] const std::vector<Placed>& on_machine(core::MachineId id) const;
+  // Machines that some record names.
+  template <class F>
+  void each_named_machine(F&& f) const {
+    for (const auto& [id, list] : on_machine_) f(id, list);
+  }
   // Calls f(part, record) for each run record of the job.
   template <class F>
   void each_run(core::JobId id, F&& f) const {
-    for (auto it = runs_.lower_bound({id, core::PartId{0}}); it != runs_.end() && it->first.first == id; ++it)
-      f(it->first.second, it->second);
+    if (id.v >= slots_.size()) return;
+    for (const auto& [part, run] : slots_[id.v].runs) f(part, run);
   }
   [[nodiscard]] const Claim& claim(core::PartId p) const { return claims_.at(p.v); }
   [[nodiscard]] std::size_t parts() const { return claims_.size(); }
   [[nodiscard]] const Member* member(const std::string& label) const;
-  [[nodiscard]] std::uint64_t team_stamp(core::TeamId t) const { return team_stamps_.at(t.v); }
+  [[nodiscard]] const TeamRecord& team(core::TeamId t) const { return teams_.at(t.v); }
+  [[nodiscard]] std::uint64_t fence(core::PartId p) const { return fences_.at(p.v); }
   [[nodiscard]] const UsageRecord& usage(core::PartId p) const { return usage_.at(p.v); }
 
  private:
+  void index(RunKey key, const jobs::RunRecord& run);
+  void unindex(RunKey key, const jobs::RunRecord& run);
+  void apply_run(RunKey key, const Event& e);
+
   jobs::Names& names_;
   std::uint64_t epoch_ = 0, newest_ = 0, version_ = 0;
-  std::unordered_map<core::JobId, jobs::JobRecord> jobs_;
+  // All that is known of one job, by its dense id.
+  struct Slot {
+    jobs::JobRecord job;
+    bool known = false;  // there is a job record
+    std::uint32_t done = 0, placed = 0;
+    std::vector<std::pair<core::PartId, jobs::RunRecord>> runs;
+  };
+  Slot& slot(core::JobId id);
+  std::deque<Slot> slots_;
+  std::set<core::JobId> with_runs_;
   std::set<core::JobId> live_;
-  std::map<RunKey, jobs::RunRecord> runs_;
+  std::set<core::JobId> unreadable_;
+  std::unordered_map<core::MachineId, std::vector<Placed>> on_machine_;
   std::unordered_map<std::string, Member> members_;
   std::vector<Claim> claims_;
-  std::vector<std::uint64_t> team_stamps_;
+  std::vector<TeamRecord> teams_;
+  std::vector<std::uint64_t> fences_;
   std::vector<UsageRecord> usage_;
   // Keys that we deleted before the changes told us so: an older value must not bring them back.
   std::unordered_map<std::string, std::uint64_t> deleted_;
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -42,6 +42,16 @@
   core::TimePoint last_push{};
   core::TimePoint sent_away{};  // when we last told its worker to report to the owner
   std::optional<double> notice_s;
+  // Since when nothing shows that what we say arrives there, though its reports come. Such a machine gets
+  // nothing new: its tasks would wait on it in vain.
+  std::optional<core::TimePoint> deaf_since;
+  core::TimePoint deaf_in_session{};  // the same, but since its newest session began
+  [[nodiscard]] bool deaf() const { return deaf_since.has_value(); }
+  void doubt(core::TimePoint now) {
+    deaf_in_session = now;
+    if (!deaf_since) deaf_since = now;
+  }
+  void heard() { deaf_since.reset(); }
   std::size_t strangers = 0;  // pieces on it that no record knows
   core::TimePoint idle_since{};
 
@@ -57,6 +67,7 @@
 
   // Room is being made here for this job.
   core::JobId reserved_for;
+  core::TimePoint reserved_ready{};  // when the room is expected to be there
   core::TimePoint reserved_until{};
 };
 
@@ -100,7 +111,6 @@
     auto it = machines_.find(id);
     return it == machines_.end() ? nullptr : &it->second;
   }
-  void forget(core::MachineId id) { machines_.erase(id); }
   [[nodiscard]] std::map<core::MachineId, Machine>& all() { return machines_; }
   [[nodiscard]] const std::map<core::MachineId, Machine>& all() const { return machines_; }
 
@@ -115,6 +125,12 @@
   std::set<Fact> facts;
   std::map<Start, core::TimePoint> seen;  // starts that a report has shown on their machine, and since when
   std::map<Start, Sent> sent;
+  // Machines whose deletion was answered: no late report or list brings them back.
+  std::set<core::MachineId> deleted;
+  [[nodiscard]] bool was_deleted(const jobs::Names& names, const std::string& name) const {
+    const auto id = names.machines.find(name);
+    return id && deleted.contains(*id);
+  }
   std::map<Start, double> to_stop;  // starts to be stopped, with the grace to save
 
  private:
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -52,21 +52,22 @@
 
 }  // namespace
 
-bool gang_broken(const jobs::JobRecord& job, const jobs::RunRecord& run, const Fleet& fleet, core::JobId id,
-                 core::PartId part) {
+bool gang_broken(const jobs::JobRecord& job, const state::Mirror& mirror, const Fleet& fleet,
+                 core::JobId id) {
   if (!job.spec.gang) return false;
-  if (run.entries.size() != job.spec.tasks) return true;
-  for (const auto& e : run.entries) {
-    const Fact gone{id, part, e.task, e.attempt, false};
-    if (fleet.facts.contains(gone)) return true;
-  }
-  return false;
+  std::size_t there = 0;
+  bool lost = false;
+  mirror.each_run(id, [&](core::PartId part, const jobs::RunRecord& run) {
+    there += run.entries.size();
+    for (const auto& e : run.entries)
+      lost = lost || fleet.facts.contains({id, part, e.task, e.attempt, false});
+  });
+  return lost || there != job.spec.tasks;
 }
 
 void machine_gone(const state::Mirror& mirror, Fleet& fleet, core::MachineId id) {
-  for (const auto& [key, run] : mirror.runs())
-    for (const auto& e : run.entries)
-      if (e.machine == id) fleet.facts.insert({key.first, key.second, e.task, e.attempt, false});
+  for (const auto& p : mirror.on_machine(id))
+    fleet.facts.insert({p.job, p.part, p.entry.task, p.entry.attempt, false});
 }
 
 ReportResult take_report(ReportContext ctx, Machine& m, const wire::Report& r) {
@@ -79,7 +80,16 @@
     out.kind = ReportResult::Kind::deposed;
     return out;
   }
-  if (m.reported && r.session > m.session) m.images.clear();
+  if (m.reported && r.session > m.session) {
+    m.images.clear();
+    // Its lease ran out although its reports came: what we answer may not reach it.
+    m.doubt(ctx.now);
+  }
+  // A session that outlives a lease has had an answer that the worker accepted.
+  if (m.deaf() && r.session == m.session && core::since(m.deaf_in_session, ctx.now) > ctx.lease_s * 1.05 + 1)
+    m.heard();
+  // Nobody but us gives out this token.
+  if (m.reported && r.token > m.token && r.token == ctx.token) m.heard();
   m.reported = true;
   m.session = r.session;
   m.seq = r.seq;
@@ -92,64 +102,62 @@
 
   std::vector<bool> known(r.pieces.size(), false);
   bool busy = false;
-  for (const auto& [key, run] : ctx.mirror.runs()) {
-    if (key.second != m.part) continue;
-    const auto& [job_id, part] = key;
+  for (const auto& [job_id, part, e] : ctx.mirror.on_machine(m.id)) {
+    if (part != m.part) continue;
+    busy = true;
+    const Start start{job_id, e.task, e.attempt};
+    const Fact gone{job_id, part, e.task, e.attempt, false};
+    if (e.session < r.session) {
+      out.changed |= ctx.fleet.facts.insert(gone).second;
+      continue;
+    }
     const auto* job = ctx.mirror.job(job_id);
-    for (const auto& e : run.entries) {
-      if (e.machine != m.id) continue;
-      busy = true;
-      const Start start{job_id, e.task, e.attempt};
-      const Fact gone{job_id, part, e.task, e.attempt, false};
-      if (e.session < r.session) {
-        out.changed |= ctx.fleet.facts.insert(gone).second;
-        continue;
-      }
-      const std::string& job_name = ctx.names.jobs.name(job_id);
-      const wire::Piece* piece = nullptr;
-      for (std::size_t i = 0; i < r.pieces.size(); ++i) {
-        const auto& p = r.pieces[i];
-        if (p.task == e.task && p.attempt == e.attempt && p.job == job_name) {
-          piece = &p;
-          known[i] = true;
-          break;
-        }
+    const auto* run = ctx.mirror.run({job_id, part});
+    const std::string& job_name = ctx.names.jobs.name(job_id);
+    const wire::Piece* piece = nullptr;
+    for (std::size_t i = 0; i < r.pieces.size(); ++i) {
+      const auto& p = r.pieces[i];
+      if (p.task == e.task && p.attempt == e.attempt && p.job == job_name) {
+        piece = &p;
+        known[i] = true;
+        break;
       }
-      const bool live = job && job->status == jobs::Status::live;
-      if (live && piece && piece->state != TaskState::fetching && piece->cause != Cause::no_room)
-        touch_image(m, ctx.fleet, job->spec.image, job->spec.image_gb);
-      if (piece && piece->state == TaskState::ended) {
-        Fact fact = gone;
-        fact.done = piece->cause == Cause::done;
-        if (ctx.fleet.facts.insert(fact).second) {
-          out.changed = true;
-          spdlog::info("ended job={} task={} try={} machine={} cause={} saved={}", job_name, e.task,
-                       e.attempt, m.name, static_cast<int>(piece->cause), piece->saved);
-          if (piece->cause == Cause::error || piece->cause == Cause::unknown) note_failure(ctx, m, job_id);
-          if (piece->cause == Cause::no_room) m.avoid_until = ctx.now + core::secs(2);
-          if (piece->cause == Cause::done) m.failed_jobs.clear();
-        }
-        continue;
+    }
+    const bool live = job && job->status == jobs::Status::live;
+    if (live && piece && piece->state != TaskState::fetching && piece->cause != Cause::no_room)
+      touch_image(m, ctx.fleet, job->spec.image, job->spec.image_gb);
+    if (piece && piece->state == TaskState::ended) {
+      Fact fact = gone;
+      fact.done = piece->cause == Cause::done;
+      if (ctx.fleet.facts.insert(fact).second) {
+        out.changed = true;
+        spdlog::info("ended job={} task={} try={} machine={} cause={} saved={}", job_name, e.task, e.attempt,
+                     m.name, static_cast<int>(piece->cause), piece->saved);
+        if (piece->cause == Cause::error || piece->cause == Cause::unknown) note_failure(ctx, m, job_id);
+        if (piece->cause == Cause::no_room) m.avoid_until = ctx.now + core::secs(2);
+        if (piece->cause == Cause::done) m.failed_jobs.clear();
       }
-      const auto stop = ctx.fleet.to_stop.find(start);
-      const bool unwanted = !live || stop != ctx.fleet.to_stop.end() ||
-                            gang_broken(*job, run, ctx.fleet, job_id, part) || run.done.contains(e.task);
-      if (!piece) {
-        if (trusted && !may_still_start(ctx, start, r) && (unwanted || ctx.fleet.seen.contains(start))) {
-          // Not there, and no order that would start it can be under way: answers to earlier reports are
-          // dead.
-          out.changed |= ctx.fleet.facts.insert(gone).second;
-        } else if (!unwanted && e.session == r.session) {
-          out.orders.push_back({Order::Kind::start, job_name, e.task, e.attempt, 0});
-        }
-        continue;
+      continue;
+    }
+    const auto stop = ctx.fleet.to_stop.find(start);
+    const bool unwanted = !live || stop != ctx.fleet.to_stop.end() ||
+                          gang_broken(*job, ctx.mirror, ctx.fleet, job_id) || run->done.contains(e.task);
+    if (!piece) {
+      if (trusted && !ctx.direct && !may_still_start(ctx, start, r) &&
+          (unwanted || ctx.fleet.seen.contains(start))) {
+        // Not there, and no order that would start it can be under way: answers to earlier reports are
+        // dead.
+        out.changed |= ctx.fleet.facts.insert(gone).second;
+      } else if (!unwanted && e.session == r.session && ctx.may_start) {
+        out.orders.push_back({Order::Kind::start, job_name, e.task, e.attempt, 0});
       }
-      ctx.fleet.seen.try_emplace(start, ctx.now);
-      if (!unwanted) continue;
-      const double grace = live && stop != ctx.fleet.to_stop.end() ? stop->second : 0;
-      if (piece->state == TaskState::saving && grace > 0) continue;
-      out.orders.push_back({Order::Kind::stop, job_name, e.task, e.attempt, grace});
+      continue;
     }
+    if (ctx.fleet.seen.try_emplace(start, ctx.now).second && trusted) m.heard();
+    if (!unwanted) continue;
+    const double grace = live && stop != ctx.fleet.to_stop.end() ? stop->second : 0;
+    if (piece->state == TaskState::saving && grace > 0) continue;
+    out.orders.push_back({Order::Kind::stop, job_name, e.task, e.attempt, grace});
   }
   m.strangers = 0;
   for (std::size_t i = 0; i < r.pieces.size(); ++i) {
--- a/src/worker/reports.hpp
+++ b/src/worker/reports.hpp
@@ -22,6 +22,11 @@
   std::unordered_map<core::JobId, JobTrouble>& trouble;
   std::uint64_t token = 0;  // of the machine's part, which this controller owns
   core::TimePoint now;
+  double lease_s = 0;
+  bool may_start = true;  // false without news from the state service: jobs may be over or cancelled by now
+  // The worker's answer to a direct order, not a report of its own. The answer to its last report may still
+  // be on its way to it, with starts in it, so nothing that is missing here is proved absent.
+  bool direct = false;
 };
 
 struct ReportResult {
@@ -36,9 +41,9 @@
 
 ReportResult take_report(ReportContext ctx, Machine& m, const wire::Report& r);
 
-// A gang attempt that has lost a task can't go on; what is left of it must end before the next attempt.
-bool gang_broken(const jobs::JobRecord& job, const jobs::RunRecord& run, const Fleet& fleet, core::JobId id,
-                 core::PartId part);
+// A gang attempt that has lost a task, in whatever part, can't go on; what is left of it must end before the
+// next attempt.
+bool gang_broken(const jobs::JobRecord& job, const state::Mirror& mirror, const Fleet& fleet, core::JobId id);
 
 // All entries on the machine are certainly gone: it was deleted.
 void machine_gone(const state::Mirror& mirror, Fleet& fleet, core::MachineId id);
