--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -25,6 +25,7 @@
 // What one round decides from.
 struct RoundView {
   struct Part {
+    std::uint64_t token = 0;
     std::vector<sched::Node> nodes;
     std::vector<sched::TeamRoom> rooms;
     std::vector<std::size_t> demands;  // indices into the view's
@@ -75,18 +76,28 @@
   // Sends orders straight to the worker; `starts` are those among them that start tasks.
   asio::awaitable<void> send(core::MachineId machine, std::vector<wire::Order> orders,
                              std::vector<worker::Start> starts);
-  void send_starts(const std::vector<const Edit*>& edits);
+  void send_starts(const Edit& e);
 
   // Own parts: records and rounds. One coroutine, so that the writes of this controller never race each
   // other.
   asio::awaitable<void> writer_loop();
   asio::awaitable<void> flush();
+  Edit settle_part(const World& w, core::PartId part);
   asio::awaitable<void> round();
   // Fills the view; false if nothing can be decided now.
   bool look(World& w, RoundView& view, core::TimePoint now);
-  static Edit placement(World& w, core::PartId part, const sched::Demand& d, double weight,
-                        std::uint64_t attempt, const std::vector<sched::Placement>& placed);
-  asio::awaitable<void> record_placements(const std::vector<Edit>& edits);
+  // What a round has found for one job.
+  struct Placing {
+    core::PartId part;
+    std::uint64_t token = 0;  // the part's term when it was decided
+    core::JobId job;
+    std::uint64_t job_stamp = 0;
+    double weight = 0;
+    std::vector<std::pair<std::uint32_t, core::MachineId>> tasks;
+  };
+  static Edit record(World& w, const std::vector<Placing>& all, std::size_t& at, std::uint64_t attempt);
+  void log_round(core::PartId part, const sched::Plan& plan, const std::vector<sched::Demand>& demands);
+  asio::awaitable<void> record_placements(const std::vector<Placing>& placings, std::uint64_t attempt);
   // After a write that got no answer: nothing that it could upset is decided until the fences have moved.
   void fence_off(const std::vector<state::Condition>& when);
   asio::awaitable<void> raise_fences();
@@ -100,6 +111,7 @@
                       const std::vector<sched::Running>& running, core::TimePoint now);
   asio::awaitable<void> move_ranges();
   asio::awaitable<void> save_usage();
+  void share_writes();
   asio::awaitable<state::Committed> commit(state::Txn txn);
 
   // Cloud.
--- a/src/app/edits.cpp
+++ b/src/app/edits.cpp
@@ -6,44 +6,139 @@
 
 namespace json = boost::json;
 
-bool Batch::add(const Edit& e, std::size_t ops) {
-  constexpr std::size_t kMostBytes = 40 * 1024;
-  const auto listed = [](const auto& list, const std::string& key) {
-    return std::any_of(list.begin(), list.end(), [&](const auto& o) { return o.key == key; });
-  };
-  std::size_t more_when = 0, more_then = 0, more_bytes = 0;
-  for (const auto& c : e.when) more_when += listed(txn.when, c.key) ? 0 : 1;
-  for (const auto& c : e.then) {
-    if (listed(txn.then, c.key)) continue;
-    ++more_then;
-    more_bytes += c.key.size() + 40 + (c.value ? json::serialize(*c.value).size() : 0);
+void Edit::require(const std::string& key, std::uint64_t stamp) {
+  if (std::none_of(when.begin(), when.end(), [&](const auto& c) { return c.key == key; }))
+    when.push_back({key, stamp});
+}
+
+PartWriter::PartWriter(const World& w, core::PartId part) : w_(w), part_(part) {
+  constexpr double kBodyKb = 48;  // of the 64 that a transaction may have
+  most_bytes_ = static_cast<std::size_t>(w.s.state_value_kb * 1024 * 0.95);
+  most_shards_ =
+      std::max<std::size_t>(1, std::min(static_cast<std::size_t>(std::max(1, w.s.state_txn_ops - 4)),
+                                        static_cast<std::size_t>(kBodyKb / w.s.state_value_kb)));
+}
+
+PartWriter::Open* PartWriter::open(const std::string& name) {
+  if (const auto it = open_.find(name); it != open_.end()) return &it->second;
+  if (open_.size() >= most_shards_) return nullptr;
+  auto& o = open_[name];
+  const auto id = w_.mirror.find_shard(part_, name);
+  if (!id) return &o;
+  const auto& shard = w_.mirror.shard(*id);
+  o.stamp = shard.stamp;
+  for (const auto job_id : shard.jobs) {
+    const auto* run = w_.mirror.run(job_id, *id);
+    const auto* job = w_.mirror.job(job_id);
+    if (!run || (job && job->status != jobs::Status::live && run->entries.empty())) continue;
+    o.bytes += jobs::bytes_at_most(*run, w_.names);
+    o.jobs[job_id] = *run;
+  }
+  return &o;
+}
+
+PartWriter::Open* PartWriter::with_room(core::JobId id, std::size_t bytes) {
+  // One that is written anyway, best the one that has the job already.
+  Open* best = nullptr;
+  for (auto& [_, o] : open_) {
+    if (o.bytes + bytes > most_bytes_) continue;
+    if (!best || o.jobs.contains(id)) best = &o;
+  }
+  if (best) return best;
+  if (open_.size() >= most_shards_) return nullptr;
+  // Else the fullest with room, so that what is new stays together.
+  std::string choice;
+  std::size_t fullest = 0;
+  std::size_t number = 0;
+  for (const auto shard : w_.mirror.shards(part_)) {
+    const auto& s = w_.mirror.shard(shard);
+    if (open_.contains(s.name)) continue;
+    auto& size = sizes_[s.name];
+    if (size == 0) {
+      size = 1;
+      for (const auto job : s.jobs)
+        if (const auto* run = w_.mirror.run(job, shard)) size += jobs::bytes_at_most(*run, w_.names);
+    }
+    if (size + bytes > most_bytes_ || size < fullest) continue;
+    fullest = size;
+    choice = s.name;
+  }
+  while (choice.empty()) {
+    const auto name = std::to_string(number++);
+    const auto known = w_.mirror.find_shard(part_, name);
+    if (!open_.contains(name) && (!known || w_.mirror.shard(*known).stamp == 0)) choice = name;
+  }
+  return open(choice);
+}
+
+bool PartWriter::add(core::JobId id, const std::vector<jobs::Entry>& entries) {
+  std::vector<std::pair<Open*, std::size_t>> added;
+  for (std::size_t at = 0; at < entries.size();) {
+    // As much of it together as there is room for; a large gang may need several shards.
+    Open* o = with_room(id, std::min((entries.size() - at + 1) * jobs::kEntryBytes, most_bytes_ / 2));
+    if (!o) {
+      for (const auto& [shard, n] : added) {
+        auto& list = shard->jobs[id].entries;
+        list.resize(list.size() - n);
+      }
+      return false;
+    }
+    auto& run = o->jobs[id];
+    const auto before = run.empty() ? 0 : jobs::bytes_at_most(run, w_.names);
+    std::size_t n = 0;
+    do {
+      run.entries.push_back(entries[at++]);
+      ++n;
+    } while (at < entries.size() && o->bytes + (n + 2) * jobs::kEntryBytes <= most_bytes_);
+    o->bytes += jobs::bytes_at_most(run, w_.names) - before;
+    added.emplace_back(o, n);
   }
-  if (!edits.empty() && (txn.then.size() + more_then > ops || txn.when.size() + more_when > 4 * ops ||
-                         bytes + more_bytes > kMostBytes))
-    return false;
-  for (const auto& c : e.when)
-    if (!listed(txn.when, c.key)) txn.when.push_back(c);
-  for (const auto& c : e.then)
-    if (!listed(txn.then, c.key)) txn.then.push_back(c);
-  bytes += more_bytes;
-  edits.push_back(&e);
   return true;
 }
 
-std::vector<Batch> pack(const std::vector<Edit>& edits, std::size_t ops) {
-  std::vector<Batch> out;
-  for (const auto& e : edits) {
-    if (out.empty() || !out.back().add(e, ops)) {
-      out.emplace_back();
-      out.back().add(e, ops);
+bool PartWriter::settle(const worker::Fact& f) {
+  const auto* job = w_.mirror.job(f.job);
+  for (const auto& p : w_.mirror.pieces(f.job)) {
+    if (p.part != part_ || std::none_of(p.run.entries.begin(), p.run.entries.end(), [&](const auto& e) {
+          return e.task == f.task && e.attempt == f.attempt;
+        }))
+      continue;
+    Open* o = open(w_.mirror.shard(p.shard).name);
+    if (!o) return false;
+    auto& run = o->jobs[f.job];
+    std::erase_if(run.entries,
+                  [&](const jobs::Entry& e) { return e.task == f.task && e.attempt == f.attempt; });
+    if (f.done && job && job->spec.gang) {
+      run.done.add(0, job->spec.tasks);  // a gang completes together
+    } else if (f.done) {
+      run.done.add(f.task, f.task + 1);
     }
+    return true;
   }
-  return out;
+  return true;  // its entry is gone already
+}
+
+std::uint32_t PartWriter::done(core::JobId id) const {
+  std::uint32_t n = 0;
+  for (const auto& p : w_.mirror.pieces(id))
+    if (p.part != part_ || !open_.contains(w_.mirror.shard(p.shard).name)) n += p.run.done.size();
+  for (const auto& [_, o] : open_)
+    if (const auto run = o.jobs.find(id); run != o.jobs.end()) n += run->second.done.size();
+  return n;
 }
 
-state::Change set_run(const World& w, state::RunKey key, const jobs::RunRecord& run) {
-  return {state::keys::run(w.names.jobs.name(key.first), w.names.parts.name(key.second)),
-          jobs::to_json(run, w.names)};
+void PartWriter::finish(Edit& e) const {
+  const auto& part = w_.names.parts.name(part_);
+  e.require(state::keys::part(part), w_.token(part_));
+  e.require(state::keys::fence(part), w_.mirror.fence(part_));
+  for (const auto& [name, o] : open_) {
+    const auto key = state::keys::shard(part, name);
+    e.require(key, o.stamp);
+    json::object jobs;
+    for (const auto& [id, run] : o.jobs)
+      if (!run.empty()) jobs[w_.names.jobs.name(id)] = jobs::to_json(run, w_.names);
+    e.then.push_back({key, json::object{{"jobs", std::move(jobs)}}});
+  }
 }
 
 jobs::JobRecord finished(const jobs::JobRecord& job) {
@@ -53,21 +148,4 @@
   return out;
 }
 
-jobs::RunRecord settled(const World& w, state::RunKey key, const jobs::RunRecord& run,
-                        const std::vector<worker::Fact>& facts) {
-  jobs::RunRecord next = run;
-  const auto* job = w.mirror.job(key.first);
-  for (const auto& f : facts) {
-    std::erase_if(next.entries,
-                  [&](const jobs::Entry& e) { return e.task == f.task && e.attempt == f.attempt; });
-    if (!f.done) continue;
-    if (job && job->spec.gang) {
-      next.done.add(0, job->spec.tasks);  // a gang completes together
-    } else {
-      next.done.add(f.task, f.task + 1);
-    }
-  }
-  return next;
-}
-
 }  // namespace finchrun::app
--- a/src/app/edits.hpp
+++ b/src/app/edits.hpp
@@ -1,4 +1,4 @@
-// Changes of this controller's records, packed into transactions within the service's limits.
+// Changes of this controller's records: what several jobs need goes into few keys of one transaction.
 #pragma once
 
 #include <map>
@@ -11,29 +11,49 @@
 
 namespace finchrun::app {
 
-// One job's or one team's change within a transaction.
+// One transaction, and what follows once it is durable.
 struct Edit {
   std::vector<state::Condition> when;
   std::vector<state::Change> then;
-  std::vector<std::string> log;                                  // told once it is durable
-  std::map<core::MachineId, std::vector<worker::Start>> starts;  // that may leave once it is durable
-};
+  std::vector<std::string> log;                                  // told then
+  std::map<core::MachineId, std::vector<worker::Start>> starts;  // that may leave then
 
-// Conditions and changes that several edits share (the part's term, a team's allowances) count once.
-struct Batch {
-  state::Txn txn;
-  std::vector<const Edit*> edits;
-  std::size_t bytes = 0;
-  bool add(const Edit& e, std::size_t ops);
+  void require(const std::string& key, std::uint64_t stamp);  // once for each key
 };
 
-// `ops` changes a transaction, four times as many conditions.
-std::vector<Batch> pack(const std::vector<Edit>& edits, std::size_t ops);
+// The shards of one part, as they shall be. Jobs that are over and have nothing on any machine are left out
+// of every shard that is written anyway.
+class PartWriter {
+ public:
+  PartWriter(const World& w, core::PartId part);
+
+  // Puts the entries where they fit. False, with nothing changed, if that would touch too many shards.
+  bool add(core::JobId id, const std::vector<jobs::Entry>& entries);
+  // Removes the fact's entry and marks what is done. False if that would touch too many shards.
+  bool settle(const worker::Fact& f);
+  // Done tasks of the job over all parts, with what this writer has marked.
+  [[nodiscard]] std::uint32_t done(core::JobId id) const;
+  [[nodiscard]] std::size_t touched() const { return open_.size(); }
+  // Adds the shards' changes and the conditions that make a late or deposed writer's fail.
+  void finish(Edit& e) const;
+
+ private:
+  struct Open {
+    std::uint64_t stamp = 0;
+    std::size_t bytes = 0;
+    std::map<core::JobId, jobs::RunRecord> jobs;
+  };
+  Open* open(const std::string& name);
+  // The open or known shard with room for so much; a new one if there is none.
+  Open* with_room(core::JobId id, std::size_t bytes);
+
+  const World& w_;
+  core::PartId part_;
+  std::size_t most_shards_, most_bytes_;
+  std::map<std::string, Open> open_;
+  std::map<std::string, std::size_t> sizes_;  // of shards that were looked at for room
+};
 
-state::Change set_run(const World& w, state::RunKey key, const jobs::RunRecord& run);
 jobs::JobRecord finished(const jobs::JobRecord& job);
-// Removes what the facts say is gone, marks what they say is done.
-jobs::RunRecord settled(const World& w, state::RunKey key, const jobs::RunRecord& run,
-                        const std::vector<worker::Fact>& facts);
 
 }  // namespace finchrun::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -45,8 +45,9 @@
     boost::asio::io_context io{1};
     http::TcpNetwork network(io.get_executor());
     std::vector<std::unique_ptr<peer::Link>> links;
+    auto deadlines = std::make_shared<core::Deadlines>(io.get_executor(), std::chrono::milliseconds(200));
     for (const auto& m : settings.members)
-      links.push_back(std::make_unique<peer::TcpLink>(io.get_executor(), m.peer));
+      links.push_back(std::make_unique<peer::TcpLink>(deadlines, io.get_executor(), m.peer));
     app::Controller controller(io, network, settings, tuning, std::random_device{}(), std::move(links));
     controller.listen();
     controller.start();
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -130,7 +130,7 @@
       }
     }
     // Polls share reads: at most one read in each short interval, at least one in each long one.
-    core::Timer least(io_, core::secs(0.06));
+    core::Timer least(io_, core::secs(tuning_.sync_least_s));
     co_await least.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     if (changes.kind != state::Changes::Kind::ok) {
       co_await sleep(0.2);
@@ -320,8 +320,24 @@
   const bool go = world_.with([&](World& w) {
     const auto* m = w.fleet.find(machine);
     if (!m || !m->reported || !w.acting(m->part)) return false;
+    // The worker may have gone on to its next session since the placement was recorded. The order, sent for
+    // the new session, would start a task whose entry that very session shows to be gone.
+    std::erase_if(starts, [&](const worker::Start& s) {
+      const auto& [job, task, attempt] = s;
+      const auto& list = w.mirror.on_machine(machine);
+      if (std::any_of(list.begin(), list.end(), [&](const state::Placed& p) {
+            return p.job == job && p.entry.task == task && p.entry.attempt == attempt &&
+                   p.entry.session == m->session;
+          }))
+        return false;
+      std::erase_if(orders, [&](const wire::Order& o) {
+        return o.kind == wire::Order::Kind::start && o.task == task && o.attempt == attempt &&
+               o.job == w.names.jobs.name(job);
+      });
+      return true;
+    });
     for (const auto& s : starts) w.fleet.sent[s] = {w.token(m->part), std::nullopt, core::Steady::now()};
-    return true;
+    return !orders.empty();
   });
   if (!go) co_return;
   const auto told = co_await tell(machine, orders);
--- a/src/app/ranges.cpp
+++ b/src/app/ranges.cpp
@@ -120,8 +120,8 @@
       move.emplace();
       move->txn.when.push_back({state::keys::part(part_name), w.token(part)});
       move->txn.when.push_back({state::keys::job(job_name), job->stamp});
-      const auto* run = w.mirror.run({d.job, part});
-      move->txn.when.push_back({state::keys::run(job_name, part_name), run ? run->stamp : 0});
+      // A placement of ours that is still under way requires the job's record as it was.
+      move->txn.when.push_back({state::keys::fence(part_name), w.mirror.fence(part)});
       move->txn.then.push_back({state::keys::job(job_name), jobs::to_json(next, w.names)});
       move->text = fmt::format("moved job={} tasks={} from={} to={}", job_name, count, part_name,
                                w.names.parts.name(best->part));
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -4,70 +4,77 @@
 #include "app/controller.hpp"
 
 namespace finchrun::app {
+namespace {
 
 using state::Outcome;
 
+// Facts whose entry is recorded no more, or whose part is another owner's, are settled.
+void drop_settled(World& w) {
+  for (auto it = w.fleet.facts.begin(); it != w.fleet.facts.end();) {
+    const auto& f = *it;
+    bool current = false;
+    for (const auto& p : w.mirror.pieces(f.job))
+      current = current || (p.part == f.part &&
+                            std::any_of(p.run.entries.begin(), p.run.entries.end(), [&](const auto& e) {
+                              return e.task == f.task && e.attempt == f.attempt;
+                            }));
+    if (current && w.owns(f.part)) {
+      ++it;
+      continue;
+    }
+    const worker::Start start{f.job, f.task, f.attempt};
+    w.fleet.seen.erase(start);
+    w.fleet.to_stop.erase(start);
+    if (auto s = w.fleet.sent.find(start); s != w.fleet.sent.end())
+      if (s->second.answered_seq || s->second.token != w.token(f.part)) w.fleet.sent.erase(s);
+    it = w.fleet.facts.erase(it);
+  }
+}
+
+void finish_job(const World& w, core::JobId id, const jobs::JobRecord& job, Edit& e) {
+  const auto key = state::keys::job(w.names.jobs.name(id));
+  e.require(key, job.stamp);
+  e.then.push_back({key, jobs::to_json(finished(job), w.names)});
+  e.log.push_back(fmt::format("job done id={}", w.names.jobs.name(id)));
+}
+
+}  // namespace
+
+Edit Controller::settle_part(const World& w, core::PartId part) {
+  Edit e;
+  PartWriter writer(w, part);
+  std::set<core::JobId> marked;
+  for (const auto& f : w.fleet.facts)
+    if (f.part == part && writer.settle(f) && f.done) marked.insert(f.job);  // the rest in the next flush
+  if (writer.touched() > 0) writer.finish(e);
+  // Jobs that are complete with this, and those that became so without anyone having said it.
+  w.mirror.each_run([&](core::JobId id, core::PartId p, const jobs::RunRecord& run) {
+    if (p == part && run.done.size() > 0) marked.insert(id);
+  });
+  for (const auto id : marked) {
+    const auto* job = w.mirror.job(id);
+    if (!job || job->status != jobs::Status::live || writer.done(id) < job->spec.tasks) continue;
+    if (e.then.size() >= store_.most_changes()) break;
+    e.require(state::keys::part(w.names.parts.name(part)), w.token(part));
+    finish_job(w, id, *job, e);
+  }
+  return e;
+}
+
 asio::awaitable<void> Controller::flush() {
   std::vector<Edit> edits;
   world_.with([&](World& w) {
-    std::map<state::RunKey, std::vector<worker::Fact>> by_run;
-    for (auto it = w.fleet.facts.begin(); it != w.fleet.facts.end();) {
-      const auto* run = w.mirror.run({it->job, it->part});
-      const bool current =
-          run && std::any_of(run->entries.begin(), run->entries.end(), [&](const jobs::Entry& e) {
-            return e.task == it->task && e.attempt == it->attempt;
-          });
-      if (!current || !w.owns(it->part)) {
-        w.fleet.seen.erase({it->job, it->task, it->attempt});
-        w.fleet.to_stop.erase({it->job, it->task, it->attempt});
-        if (auto s = w.fleet.sent.find({it->job, it->task, it->attempt}); s != w.fleet.sent.end())
-          if (s->second.answered_seq || s->second.token != w.token(it->part)) w.fleet.sent.erase(s);
-        it = w.fleet.facts.erase(it);
-        continue;
-      }
-      if (w.acting(it->part)) by_run[{it->job, it->part}].push_back(*it);
-      ++it;
-    }
-    // Records without facts that still need an end: jobs over, or complete without anyone having said so.
-    w.mirror.each_run([&](state::RunKey key, const jobs::RunRecord& run) {
-      if (!w.acting(key.second) || by_run.contains(key)) return;
-      const auto* job = w.mirror.job(key.first);
-      const bool over = !job || job->status != jobs::Status::live;
-      if (over && run.entries.empty()) by_run[key];
-      if (!over && run.done.size() > 0 && w.mirror.done(key.first) >= job->spec.tasks) by_run[key];
-    });
-    for (const auto& [key, facts] : by_run) {
-      const auto& run = *w.mirror.run(key);
-      const auto* job = w.mirror.job(key.first);
-      const auto next = settled(w, key, run, facts);
-      const auto& job_name = w.names.jobs.name(key.first);
-      const auto& part_name = w.names.parts.name(key.second);
-      Edit e;
-      e.when.push_back({state::keys::part(part_name), w.token(key.second)});
-      e.when.push_back({state::keys::run(job_name, part_name), run.stamp});
-      const bool live = job && job->status == jobs::Status::live;
-      const bool complete =
-          live && w.mirror.done(key.first) - run.done.size() + next.done.size() >= job->spec.tasks;
-      if (complete) {
-        e.when.push_back({state::keys::job(job_name), job->stamp});
-        e.then.push_back({state::keys::job(job_name), jobs::to_json(finished(*job), w.names)});
-      }
-      if (next.entries.empty() && (complete || !live)) {
-        e.then.push_back({state::keys::run(job_name, part_name), std::nullopt});
-      } else {
-        e.then.push_back(set_run(w, key, next));
-      }
-      edits.push_back(std::move(e));
-    }
+    drop_settled(w);
+    for (std::uint32_t p = 0; p < w.parts.size(); ++p)
+      if (w.acting(core::PartId{p})) edits.push_back(settle_part(w, core::PartId{p}));
   });
-  if (edits.empty()) co_return;
-  for (auto& batch : pack(edits, store_.most_changes())) {
-    if (!store_.spend(static_cast<int>(batch.txn.then.size()))) co_return;  // the rest in the next flush
-    auto txn = batch.txn;
+  for (auto& e : edits) {
+    if (e.then.empty()) continue;
+    if (!store_.spend(static_cast<int>(e.then.size()))) co_return;  // the rest in the next flush
+    state::Txn txn{e.when, std::move(e.then)};
     const auto result = co_await commit(std::move(txn));
     if (result.outcome == Outcome::done) {
-      for (const auto& c : batch.txn.then)
-        if (c.value && c.key.starts_with("jobs/")) spdlog::info("job done id={}", c.key.substr(5));
+      for (const auto& line : e.log) spdlog::info("{}", line);
       continue;
     }
     // Facts stay, so the next flush tries again on what the next sync shows.
--- a/src/app/rounds.cpp
+++ b/src/app/rounds.cpp
@@ -26,14 +26,13 @@
     }
     if (w.acting(part)) w.usage[p].roll(wall);
   }
-  w.mirror.each_run([&](state::RunKey key, const jobs::RunRecord& run) {
-    const auto* job = run.entries.empty() || !w.acting(key.second) ? nullptr : w.mirror.job(key.first);
+  w.mirror.each_run([&](core::JobId id, core::PartId part, const jobs::RunRecord& run) {
+    const auto* job = run.entries.empty() || !w.acting(part) ? nullptr : w.mirror.job(id);
     if (!job || job->spec.team.v >= usage.size()) return;
     const auto running = std::count_if(run.entries.begin(), run.entries.end(), [&](const jobs::Entry& e) {
-      return w.fleet.seen.contains({key.first, e.task, e.attempt});
+      return w.fleet.seen.contains({id, e.task, e.attempt});
     });
-    w.usage[key.second.v].add(job->spec.team, job->spec.need.cpus * seconds * static_cast<double>(running),
-                              wall);
+    w.usage[part.v].add(job->spec.team, job->spec.need.cpus * seconds * static_cast<double>(running), wall);
   });
   for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
     const core::PartId part{p};
@@ -79,16 +78,14 @@
   constexpr std::size_t kMostTasks = 200;  // of one job in one round: bounds the work here
   const auto& job = *w.mirror.job(id);
   const auto& spec = job.spec;
-  const auto* run = w.mirror.run({id, part});
   sched::Demand d;
   // Until every task of its earlier attempt is gone, in whatever part, a gang can't start again.
   if (spec.gang && w.mirror.placed(id) > 0) return std::nullopt;
-  const auto room = jobs::room_for_entries(run ? *run : jobs::RunRecord{}, w.s.state_value_kb);
-  d.tasks = waiting.first(part, spec.gang ? spec.tasks : std::min(kMostTasks, room));
-  if (d.tasks.empty() || (spec.gang && (d.tasks.size() != spec.tasks || d.tasks.size() > room)))
-    return std::nullopt;
+  d.tasks = waiting.first(part, spec.gang ? spec.tasks : kMostTasks);
+  if (d.tasks.empty() || (spec.gang && d.tasks.size() != spec.tasks)) return std::nullopt;
   d.count = waiting.count(part);
   d.job = id;
+  d.job_stamp = job.stamp;
   d.team = spec.team;
   d.lane = spec.lane;
   d.image = spec.image;
@@ -100,14 +97,14 @@
   d.spot = spec.spot;
   d.types = spec.types;
   d.zone = spec.zone;
+  // `scatter`: what other parts of the zone may ever place counts too, so no two owners need to agree.
   std::uint32_t here = 0;
+  for (const auto& r : job.ranges)
+    if (r.part != part && w.parts.zone(r.part) == w.parts.zone(part)) here += r.to - r.from;
   bool elsewhere = false;
   w.mirror.each_run(id, [&](core::PartId q, const jobs::RunRecord& r) {
-    if (w.parts.zone(q) == w.parts.zone(part)) {
-      here += static_cast<std::uint32_t>(r.entries.size());
-    } else {
-      elsewhere = elsewhere || !r.entries.empty();
-    }
+    if (q == part) here += static_cast<std::uint32_t>(r.entries.size());
+    if (w.parts.zone(q) != w.parts.zone(part)) elsewhere = elsewhere || !r.entries.empty();
   });
   d.room_in_zone = spec.zone_cap() - std::min(spec.zone_cap(), here);
   // `together`: while any task, of an old attempt too, may be in another zone, none may start here.
@@ -135,6 +132,7 @@
   for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
     const core::PartId part{p};
     if (!w.acting(part) || w.fence_due[p] || w.mirror.epoch() < w.fenced_at[p]) continue;
+    v.parts[part].token = w.token(part);
     auto& rooms = v.parts[part].rooms;
     for (std::uint32_t t = 0; t < v.used.size(); ++t) {
       const auto allowance = w.allowances(core::TeamId{t});
@@ -179,39 +177,45 @@
   return true;
 }
 
-Edit Controller::placement(World& w, core::PartId part, const sched::Demand& d, double weight,
-                           std::uint64_t attempt, const std::vector<sched::Placement>& placed) {
+// As many of the placements as fit into one transaction; at least one unless the part is not ours any more.
+Edit Controller::record(World& w, const std::vector<Placing>& all, std::size_t& at, std::uint64_t attempt) {
   Edit e;
-  const auto* job = w.mirror.job(d.job);
-  const auto* run = w.mirror.run({d.job, part});
-  jobs::RunRecord next = run ? *run : jobs::RunRecord{};
-  const auto& job_name = w.names.jobs.name(d.job);
-  const auto& part_name = w.names.parts.name(part);
-  for (const auto& pl : placed) {
-    const auto* m = w.fleet.find(pl.machine);
-    next.entries.push_back({pl.task, attempt, pl.machine, m->session});
-    e.starts[pl.machine].push_back({d.job, pl.task, attempt});
-    e.log.push_back(fmt::format("place job={} task={} try={} machine={} part={} term={} weight={:.3f}",
-                                job_name, pl.task, attempt, m->name, part_name, w.token(part), weight));
+  const auto part = all[at].part;
+  // Under another term, though it be ours again, others may have written what this was decided from.
+  if (!w.acting(part) || w.token(part) != all[at].token) {
+    ++at;
+    return e;
   }
-  e.when.push_back({state::keys::part(part_name), w.token(part)});
-  // A placement that got no answer and is applied after the next one would book a team's room twice.
-  e.when.push_back({state::keys::fence(part_name), w.mirror.fence(part)});
-  // The part's allowance is what we think it is: it is lowered, by giving, only through this key.
-  e.when.push_back({state::keys::team(w.names.teams.name(d.team)), w.mirror.team(d.team).stamp});
-  e.when.push_back({state::keys::job(job_name), job->stamp});
-  e.when.push_back({state::keys::run(job_name, part_name), next.stamp});
-  // `together` and `scatter` count the job's tasks elsewhere: those records must not have moved either, or
-  // have come to be.
-  if (job->spec.one_zone || job->spec.spread || job->spec.gang) {
-    for (std::uint32_t q = 0; q < w.parts.size(); ++q) {
-      const auto* other = w.mirror.run({d.job, core::PartId{q}});
-      if (q != part.v && (other || job->spec.gang))
-        e.when.push_back(
-            {state::keys::run(job_name, w.names.parts.name(core::PartId{q})), other ? other->stamp : 0});
+  PartWriter writer(w, part);
+  const auto most_conditions = static_cast<std::size_t>(4 * w.s.state_txn_ops);
+  const auto& part_name = w.names.parts.name(part);
+  for (; at < all.size() && all[at].part == part; ++at) {
+    const auto& p = all[at];
+    const auto* job = w.mirror.job(p.job);
+    // Its range may have moved since.
+    if (!job || job->stamp != p.job_stamp) continue;
+    // The part's term and fence, each open shard, and this job and its team.
+    if (e.when.size() + writer.touched() + 5 > most_conditions) break;
+    std::vector<jobs::Entry> entries;
+    for (const auto& [task, machine] : p.tasks) {
+      const auto* m = w.fleet.find(machine);
+      if (m && !m->gone && !m->releasing) entries.push_back({task, attempt, machine, m->session});
+    }
+    if (entries.size() != p.tasks.size()) continue;
+    if (!writer.add(p.job, entries)) break;
+    const auto& job_name = w.names.jobs.name(p.job);
+    // Nothing starts of a job that is over, or whose range has moved.
+    e.require(state::keys::job(job_name), job->stamp);
+    // The part's allowance is what we think it is: it is lowered, by giving, only through this key.
+    e.require(state::keys::team(w.names.teams.name(job->spec.team)), w.mirror.team(job->spec.team).stamp);
+    for (const auto& entry : entries) {
+      e.starts[entry.machine].push_back({p.job, entry.task, attempt});
+      e.log.push_back(fmt::format("place job={} task={} try={} machine={} part={} term={} weight={:.3f}",
+                                  job_name, entry.task, attempt, w.names.machines.name(entry.machine),
+                                  part_name, w.token(part), p.weight));
     }
   }
-  e.then.push_back(set_run(w, {d.job, part}, next));
+  if (writer.touched() > 0) writer.finish(e);
   return e;
 }
 
@@ -226,7 +230,7 @@
 
   const auto costs = sched::rank(v.queue, v.shares, v.usage,
                                  {tuning_.image_factor, tuning_.size_factor, tuning_.usage_factor});
-  std::vector<Edit> edits;
+  std::vector<Placing> placings;
   for (auto& [part, view] : v.parts) {
     std::vector<sched::Demand> mine;
     std::vector<sched::Costs> mine_costs;
@@ -236,39 +240,74 @@
     }
     const auto machines = view.nodes.size();
     auto plan = sched::place(std::move(view.nodes), mine, mine_costs, view.rooms);
-    std::map<std::size_t, std::vector<sched::Placement>> by_demand;
-    for (const auto& pl : plan.placements) by_demand[pl.demand].push_back(pl);
-    world_.with([&](World& w) {
-      for (const auto& [i, placed] : by_demand)
-        edits.push_back(placement(w, part, mine[i], mine_costs[i].weight, v.attempt, placed));
-    });
+    // In the order of placing: what does not get into this round's transactions is what ranks lowest.
+    std::map<std::size_t, std::size_t> placed_of;
+    for (const auto& pl : plan.placements) {
+      if (placed_of[pl.demand]++ == 0)
+        placings.push_back({part,
+                            view.token,
+                            mine[pl.demand].job,
+                            mine[pl.demand].job_stamp,
+                            mine_costs[pl.demand].weight,
+                            {}});
+      placings.back().tasks.emplace_back(pl.task, pl.machine);
+    }
     for (const auto i : plan.unplaced) {
       auto& d = mine[i];
-      const auto placed = by_demand.contains(i) ? by_demand[i].size() : 0;
+      const auto placed = placed_of.contains(i) ? placed_of[i] : 0;
       d.tasks.erase(d.tasks.begin(), d.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
       d.count -= static_cast<std::uint32_t>(placed);
     }
     make_room(part, plan, mine, v, machines, now);
+    if (spdlog::should_log(spdlog::level::debug)) log_round(part, plan, mine);
     note_shortage(part, plan, mine, v.used);
     for (const auto i : plan.unplaced) {
       backlog_.push_back(std::move(mine[i]));
       backlog_part_.push_back(part);
     }
   }
-  co_await record_placements(edits);
+  co_await record_placements(placings, v.attempt);
   co_await share_allowances();
 }
 
-asio::awaitable<void> Controller::record_placements(const std::vector<Edit>& edits) {
-  for (auto& batch : pack(edits, store_.most_changes())) {
-    if (!store_.spend(static_cast<int>(batch.txn.then.size()))) break;
+void Controller::log_round(core::PartId part, const sched::Plan& plan,
+                           const std::vector<sched::Demand>& demands) {
+  core::Resources free, kept;
+  std::size_t reserved = 0, limited = 0, gathering = 0;
+  for (const auto& n : plan.nodes) {
+    (n.reserved_for.valid() ? kept : free) += n.free;
+    reserved += n.reserved_for.valid() ? 1 : 0;
+  }
+  for (const auto i : plan.unplaced) {
+    const auto& d = demands[i];
+    const double n = d.gang ? static_cast<double>(d.tasks.size()) : 1;
+    limited += plan.teams.at(d.team.v).allows(d.need * n) ? 0 : 1;
+    gathering += d.has_reservation ? 1 : 0;
+  }
+  world_.with([&](World& w) {
+    spdlog::debug(
+        "round part={} machines={} reserved={} free_gpus={} kept_gpus={} jobs={} placed={} unplaced={} "
+        "limited={} gathering={}",
+        w.names.parts.name(part), plan.nodes.size(), reserved, free.gpus, kept.gpus, demands.size(),
+        plan.placements.size(), plan.unplaced.size(), limited, gathering);
+  });
+}
+
+asio::awaitable<void> Controller::record_placements(const std::vector<Placing>& placings,
+                                                    std::uint64_t attempt) {
+  for (std::size_t at = 0; at < placings.size();) {
+    Edit e = world_.with([&](World& w) { return record(w, placings, at, attempt); });
+    if (e.then.empty()) continue;
+    if (!store_.spend(static_cast<int>(e.then.size()))) {
+      next_round_ = std::min(next_round_, core::Steady::now() + core::secs(0.4));
+      co_return;
+    }
     // Named: GCC 12 destroys aggregates twice that are temporaries of a co_await.
-    state::Txn txn = batch.txn;
+    state::Txn txn{e.when, std::move(e.then)};
     const auto result = co_await commit(std::move(txn));
     if (result.outcome == Outcome::done) {
-      for (const auto* e : batch.edits)
-        for (const auto& line : e->log) spdlog::info("{}", line);
-      send_starts(batch.edits);
+      for (const auto& line : e.log) spdlog::info("{}", line);
+      send_starts(e);
       continue;
     }
     spdlog::info("placing refused outcome={} failed={}", static_cast<int>(result.outcome),
@@ -277,7 +316,7 @@
     next_round_ = std::min(next_round_, core::Steady::now() + core::secs(0.4));
     sync_wake_.cancel();
     if (result.outcome != Outcome::unknown) continue;
-    fence_off(batch.txn.when);
+    fence_off(e.when);
     co_return;
   }
 }
@@ -418,18 +457,14 @@
   }
 }
 
-void Controller::send_starts(const std::vector<const Edit*>& edits) {
-  std::map<core::MachineId, std::vector<worker::Start>> by_machine;
-  for (const auto* e : edits)
-    for (const auto& [machine, starts] : e->starts)
-      by_machine[machine].insert(by_machine[machine].end(), starts.begin(), starts.end());
-  for (auto& [machine, starts] : by_machine) {
+void Controller::send_starts(const Edit& e) {
+  for (const auto& [machine, starts] : e.starts) {
     std::vector<wire::Order> orders;
     world_.with([&](World& w) {
       for (const auto& [job, task, attempt] : starts)
         orders.push_back({wire::Order::Kind::start, w.names.jobs.name(job), task, attempt, 0});
     });
-    asio::co_spawn(io_, send(machine, std::move(orders), std::move(starts)), asio::detached);
+    asio::co_spawn(io_, send(machine, std::move(orders), starts), asio::detached);
   }
 }
 
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -37,10 +37,10 @@
 
 std::vector<std::vector<core::Resources>> World::used_by_part() const {
   std::vector<std::vector<core::Resources>> used(parts.size(), std::vector<core::Resources>(s.teams.size()));
-  mirror.each_run([&](state::RunKey key, const jobs::RunRecord& run) {
-    const auto* job = run.entries.empty() ? nullptr : mirror.job(key.first);
+  mirror.each_run([&](core::JobId id, core::PartId part, const jobs::RunRecord& run) {
+    const auto* job = run.entries.empty() ? nullptr : mirror.job(id);
     if (!job || job->spec.team.v >= s.teams.size()) return;
-    used[key.second.v][job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
+    used[part.v][job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
   });
   return used;
 }
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -73,7 +73,7 @@
   }
   // Owns it, and has read everything that earlier owners recorded.
   [[nodiscard]] bool acting(core::PartId p) const {
-    return owns(p) && mirror.epoch() >= mirror.claim(p).stamp;
+    return owns(p) && mirror.epoch() >= mirror.claim(p).stamp && mirror.readable(p);
   }
   [[nodiscard]] std::uint64_t token(core::PartId p) const { return mirror.claim(p).stamp; }
   // An owner without news from the state service may be renewing tasks that were cancelled elsewhere: a
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -17,6 +17,7 @@
   while (true) {
     writer_wake_.expires_after(core::secs(tuning_.flush_s));
     co_await writer_wake_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    share_writes();
     co_await flush();
     const auto now = core::Steady::now();
     // A round comes early when a job has arrived or room has been freed; never more often than the least gap.
@@ -36,6 +37,20 @@
   }
 }
 
+// Owners of parts write most; the others only what users ask of them. Together a little more than there is,
+// since they seldom all use theirs.
+void Controller::share_writes() {
+  constexpr double kOwners = 1.1, kOthers = 0.25;
+  store_.use_share_of_writes(world_.with([&](World& w) {
+    std::set<std::string> owners;
+    for (std::uint32_t p = 0; p < w.parts.size(); ++p)
+      if (const auto& owner = w.mirror.claim(core::PartId{p}).owner; !owner.empty()) owners.insert(owner);
+    const auto n = static_cast<double>(owners.size());
+    if (owners.contains(w.s.label)) return kOwners / n;
+    return kOthers / std::max(1.0, w.s.nodes - n);
+  }));
+}
+
 asio::awaitable<void> Controller::save_usage() {
   std::vector<state::Txn> txns;
   world_.with([&](World& w) {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -174,6 +174,8 @@
   need(t.member_ttl_s >= 0.5 && t.member_ttl_s <= 600, "member.ttl_s", t.member_ttl_s, "must be 0.5 to 600");
   need(t.flush_s >= 0.02 && t.flush_s <= 2, "state.flush_s", t.flush_s, "must be 0.02 to 2");
   need(t.sync_s >= 0.05 && t.sync_s <= 2, "state.sync_s", t.sync_s, "must be 0.05 to 2");
+  need(t.sync_least_s >= 0.01 && t.sync_least_s <= t.sync_s, "state.sync_least_s", t.sync_least_s,
+       "must be 0.01 to state.sync_s");
   need(t.idle_return_s >= 1, "hire.idle_return_s", t.idle_return_s, "must be at least 1");
   need(t.gather_patience_s >= 0, "gather.patience_s", t.gather_patience_s, "must not be negative");
   need(t.hire_batch >= 1 && t.hire_batch <= 50, "hire.batch", t.hire_batch, "must be 1 to 50");
@@ -212,6 +214,7 @@
   real("member.ttl_s", t.member_ttl_s);
   real("state.flush_s", t.flush_s);
   real("state.sync_s", t.sync_s);
+  real("state.sync_least_s", t.sync_least_s);
   real("hire.idle_return_s", t.idle_return_s);
   whole("hire.batch", t.hire_batch);
   real("gather.patience_s", t.gather_patience_s);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -78,6 +78,7 @@
   double member_ttl_s = 3;     // hold on a controller's membership
   double flush_s = 0.25;       // batching of records into writes
   double sync_s = 0.25;        // longest wait between reads of the store's changes
+  double sync_least_s = 0.12;  // shortest, while users wait for one
   double idle_return_s = 600;  // a hired machine idle for this long is returned
   int hire_batch = 4;          // most machines asked for in one rental request, while half the need is less
   double gather_patience_s = 10;  // a gang that has waited for longer has room kept for it
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -30,6 +30,7 @@
 using ImageId = Id<struct ImageTag>;
 using LaneId = Id<struct LaneTag>;
 using PartId = Id<struct PartTag>;
+using ShardId = Id<struct ShardTag>;
 
 // Maps names to dense indices, in the order in which they were first seen.
 template <class IdT>
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,13 +6,19 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/exchange.hpp"
+
 namespace finchrun::http {
 
 namespace beast = boost::beast;
 namespace bhttp = beast::http;
 
-Client::Client(asio::any_io_executor executor, config::Endpoint endpoint, std::size_t keep)
-    : executor_(std::move(executor)), endpoint_(std::move(endpoint)), keep_(keep) {}
+Client::Client(std::shared_ptr<core::Deadlines> deadlines, asio::any_io_executor executor,
+               config::Endpoint endpoint, std::size_t keep)
+    : deadlines_(std::move(deadlines)),
+      executor_(std::move(executor)),
+      endpoint_(std::move(endpoint)),
+      keep_(keep) {}
 
 asio::awaitable<Answer> Client::call(Verb verb, std::string target, std::string body,
                                      std::chrono::milliseconds limit) {
@@ -22,42 +28,41 @@
   request.body() = std::move(body);
   request.prepare_payload();
 
-  const auto deadline = std::chrono::steady_clock::now() + limit;
-  beast::error_code ec;
-  auto on_error = asio::redirect_error(asio::use_awaitable, ec);
+  const auto deadline = core::Steady::now() + limit;
   // A kept connection may have been closed by the other side before it took the request; only a failure to
   // write on it is tried again on a new one, since after that the request might be executed.
   for (int attempt = 0; attempt < 2; ++attempt) {
     Stream stream;
+    Code ec;
     const bool reused = attempt == 0 && !idle_.empty();
     if (reused) {
       stream = std::move(idle_.back());
       idle_.pop_back();
     } else {
-      stream = std::make_unique<beast::tcp_stream>(executor_);
-      stream->expires_at(deadline);
+      stream = std::make_unique<Socket>(executor_);
+    }
+    const core::Deadlines::Guard guard(deadlines_, *stream, deadline);
+    if (!reused) {
       asio::ip::tcp::endpoint to(asio::ip::make_address_v4(endpoint_.host), endpoint_.port);
-      co_await stream->async_connect(to, on_error);
+      co_await stream->async_connect(to, asio::redirect_error(asio::use_awaitable, ec));
       if (ec) co_return Answer{};
-      beast::error_code ignored;
-      stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+      Code ignored;
+      stream->set_option(asio::ip::tcp::no_delay(true), ignored);
+      stream->non_blocking(true, ignored);
     }
-    stream->expires_at(deadline);
-    co_await bhttp::async_write(*stream, request, on_error);
+    ec = co_await send(*stream, request);
     if (ec) {
-      if (reused && ec != beast::error::timeout) continue;
+      if (reused && core::Steady::now() < deadline) continue;
       co_return Answer{};
     }
     beast::flat_buffer buffer;
     bhttp::response_parser<bhttp::string_body> parser;
     parser.body_limit(64 * 1024 * 1024);
-    co_await bhttp::async_read(*stream, buffer, parser, on_error);
+    ec = co_await receive(*stream, buffer, parser);
     if (ec) co_return Answer{};
     Answer answer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
-    if (parser.keep_alive() && idle_.size() < keep_) {
-      stream->expires_never();
-      idle_.push_back(std::move(stream));
-    }
+    // Kept only while it is open: its deadline may have come at this very moment.
+    if (parser.keep_alive() && idle_.size() < keep_ && stream->is_open()) idle_.push_back(std::move(stream));
     co_return answer;
   }
   co_return Answer{};
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -2,16 +2,18 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <vector>
 
+#include "core/deadlines.hpp"
 #include "http/transport.hpp"
 
 namespace finchrun::http {
 
 class Client : public Transport {
  public:
-  Client(asio::any_io_executor executor, config::Endpoint endpoint, std::size_t keep = 4);
+  Client(std::shared_ptr<core::Deadlines> deadlines, asio::any_io_executor executor,
+         config::Endpoint endpoint, std::size_t keep = 4);
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
@@ -19,7 +21,8 @@
                                std::chrono::milliseconds limit) override;
 
  private:
-  using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+  using Stream = std::unique_ptr<boost::asio::ip::tcp::socket>;
+  std::shared_ptr<core::Deadlines> deadlines_;
   asio::any_io_executor executor_;
   config::Endpoint endpoint_;
   std::size_t keep_;
@@ -29,13 +32,16 @@
 // The real network.
 class TcpNetwork : public Network {
  public:
-  explicit TcpNetwork(asio::any_io_executor executor) : executor_(std::move(executor)) {}
+  explicit TcpNetwork(asio::any_io_executor executor)
+      : executor_(executor),
+        deadlines_(std::make_shared<core::Deadlines>(executor, std::chrono::milliseconds(200))) {}
   std::unique_ptr<Transport> connect(const config::Endpoint& to, std::size_t keep) override {
-    return std::make_unique<Client>(executor_, to, keep);
+    return std::make_unique<Client>(deadlines_, executor_, to, keep);
   }
 
  private:
   asio::any_io_executor executor_;
+  std::shared_ptr<core::Deadlines> deadlines_;
 };
 
 }  // namespace finchrun::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,10 +9,12 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
 
+#include "core/deadlines.hpp"
+#include "http/exchange.hpp"
+
 namespace finchrun::http {
 namespace {
 
@@ -21,6 +23,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto kIdle = std::chrono::seconds(90);
+constexpr auto kWrite = std::chrono::seconds(10);
+constexpr auto kTick = std::chrono::seconds(2);
 
 bhttp::response<bhttp::string_body> render(Response&& r, unsigned version, bool keep_alive) {
   bhttp::response<bhttp::string_body> out(static_cast<bhttp::status>(r.status), version);
@@ -32,34 +36,39 @@
   return out;
 }
 
-asio::awaitable<void> session(tcp::socket socket, std::shared_ptr<Handler> handler,
-                              std::shared_ptr<int> open) {
+// Errors that the parser found in a request, as opposed to those of the connection.
+bool malformed(const Code& ec) {
+  return ec && ec != bhttp::error::end_of_stream &&
+         ec.category() == bhttp::make_error_code(bhttp::error::bad_method).category();
+}
+
+asio::awaitable<void> session(Socket socket, std::shared_ptr<Handler> handler, std::shared_ptr<int> open,
+                              std::shared_ptr<core::Deadlines> deadlines) {
   struct Count {
     std::shared_ptr<int> n;
     ~Count() { --*n; }
   } count{open};
-  beast::tcp_stream stream(std::move(socket));
-  beast::error_code ec;
-  auto on_error = asio::redirect_error(asio::use_awaitable, ec);
-  stream.socket().set_option(tcp::no_delay(true), ec);
+  Code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  socket.non_blocking(true, ec);
+  core::Deadlines::Guard guard(std::move(deadlines), socket, core::Steady::now() + kIdle);
   beast::flat_buffer buffer;
   while (true) {
     bhttp::request_parser<bhttp::string_body> parser;
     parser.body_limit(kMaxBody);
-    stream.expires_after(kIdle);
-    co_await bhttp::async_read(stream, buffer, parser, on_error);
+    guard.move_to(core::Steady::now() + kIdle);
+    ec = co_await receive(socket, buffer, parser);
     if (ec == bhttp::error::body_limit || ec == bhttp::error::header_limit) {
       // Refused without reading it all, so the connection can't be used further.
       auto reply = render({413, R"({"error":"request too large"})"}, 11, false);
-      stream.expires_after(std::chrono::seconds(5));
-      co_await bhttp::async_write(stream, reply, on_error);
+      guard.move_to(core::Steady::now() + kWrite);
+      co_await send(socket, reply);
       co_return;
     }
-    if (ec && ec != bhttp::error::end_of_stream &&
-        ec.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
+    if (malformed(ec)) {
       auto reply = render({400, R"({"error":"malformed request"})"}, 11, false);
-      stream.expires_after(std::chrono::seconds(5));
-      co_await bhttp::async_write(stream, reply, on_error);
+      guard.move_to(core::Steady::now() + kWrite);
+      co_await send(socket, reply);
       co_return;
     }
     if (ec) co_return;
@@ -70,11 +79,11 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.body = std::move(message.body());
-    stream.expires_never();
+    guard.move_to(core::TimePoint::max());  // handlers have deadlines of their own
     Response response = co_await (*handler)(std::move(request));
     auto reply = render(std::move(response), version, keep);
-    stream.expires_after(std::chrono::seconds(10));
-    co_await bhttp::async_write(stream, reply, on_error);
+    guard.move_to(core::Steady::now() + kWrite);
+    ec = co_await send(socket, reply);
     if (ec || !keep) co_return;
   }
 }
@@ -86,6 +95,7 @@
   tcp::acceptor acceptor(executor, tcp::endpoint(asio::ip::make_address_v4(at.host), at.port));
   auto shared = std::make_shared<Handler>(std::move(handler));
   auto open = std::make_shared<int>(0);
+  auto deadlines = std::make_shared<core::Deadlines>(executor, kTick);
   beast::error_code ec;
   auto on_error = asio::redirect_error(asio::use_awaitable, ec);
   while (true) {
@@ -100,7 +110,7 @@
       continue;
     }
     ++*open;
-    asio::co_spawn(executor, session(std::move(socket), shared, open), asio::detached);
+    asio::co_spawn(executor, session(std::move(socket), shared, open, deadlines), asio::detached);
   }
 }
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job.hpp"
 
 #include <map>
+#include <set>
 #include <stdexcept>
 
 namespace finchrun::jobs {
@@ -130,11 +131,6 @@
   RunRecord r;
   for (const auto& item : o.at("p").as_array()) {
     const auto& a = item.as_array();
-    if (a.size() == 4) {  // as written before entries were grouped
-      r.entries.push_back({static_cast<std::uint32_t>(whole(a.at(0))), whole(a.at(1)),
-                           names.machines.intern(a.at(2).as_string()), whole(a.at(3))});
-      continue;
-    }
     const auto attempt = whole(a.at(0));
     for (const auto& group : a.at(1).as_array()) {
       const auto& g = group.as_array();
@@ -151,12 +147,13 @@
   return r;
 }
 
-std::size_t room_for_entries(const RunRecord& r, double value_kb) {
-  // An entry on a machine of its own, and the interval that it leaves in the set of done tasks.
-  constexpr double kEntry = 40, kSpan = 18, kFrame = 100;
-  const double left = value_kb * 1024 * 0.9 - kFrame - kSpan * static_cast<double>(r.done.spans().size()) -
-                      kEntry * static_cast<double>(r.entries.size());
-  return left <= 0 ? 0 : static_cast<std::size_t>(left / kEntry);
+std::size_t bytes_at_most(const RunRecord& r, const Names& names) {
+  constexpr std::size_t kFrame = 48, kSpan = 16, kGroup = 26, kTask = 8, kGrowth = 8;
+  std::set<std::pair<std::uint64_t, core::MachineId>> groups;
+  std::size_t bytes = kFrame + kSpan * r.done.spans().size() + (kTask + kGrowth) * r.entries.size();
+  for (const auto& e : r.entries)
+    if (groups.insert({e.attempt, e.machine}).second) bytes += kGroup + names.machines.name(e.machine).size();
+  return bytes;
 }
 
 }  // namespace finchrun::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -82,26 +82,24 @@
   std::uint64_t attempt = 0;
   core::MachineId machine;
   std::uint64_t session = 0;
+  bool operator==(const Entry&) const = default;
 };
 
-// `run/<id>/<part>`: written by the part's owner only.
+// What one shard of a part's records, `runs/<part>/<shard>`, holds of a job; written by the part's owner.
 struct RunRecord {
   std::vector<Entry> entries;
   Intervals done;
-  std::uint64_t stamp = 0;
 
-  [[nodiscard]] const Entry* find(std::uint32_t task) const {
-    for (const auto& e : entries)
-      if (e.task == task) return &e;
-    return nullptr;
-  }
+  [[nodiscard]] bool empty() const { return entries.empty() && done.spans().empty(); }
+  bool operator==(const RunRecord&) const = default;
 };
 
 json::value to_json(const JobRecord& r, const Names& names);
 json::value to_json(const RunRecord& r, const Names& names);
-// How many more entries the record can take and stay within the service's limit on values, however its tasks
-// end.
-std::size_t room_for_entries(const RunRecord& r, double value_kb);
+// Bytes that the record takes in its shard at most, however its tasks end.
+std::size_t bytes_at_most(const RunRecord& r, const Names& names);
+// The same for one entry more, on a machine that the record does not name yet.
+inline constexpr std::size_t kEntryBytes = 64;
 // These throw on records that make no sense: they are ours, so that is a bug or a newer version.
 JobRecord job_from_json(const json::value& v, Names& names);
 RunRecord run_from_json(const json::value& v, Names& names);
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -4,61 +4,78 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include "http/exchange.hpp"
 #include "peer/messages.hpp"
 
 namespace finchrun::peer {
 namespace {
 
-using Stream = boost::beast::tcp_stream;
 using tcp = asio::ip::tcp;
+using http::Code;
+using http::Socket;
 constexpr std::size_t kKeep = 3;
+constexpr std::size_t kHead = 4;
+constexpr auto kIdle = std::chrono::seconds(60);
+constexpr auto kWrite = std::chrono::seconds(5);
 
-asio::awaitable<bool> write_frame(Stream& stream, const std::string& frame) {
-  std::string bytes(4, '\0');
+asio::awaitable<bool> write_frame(Socket& socket, std::string frame) {
+  std::string bytes(kHead, '\0');
   boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(bytes.data()),
                                static_cast<std::uint32_t>(frame.size()));
   bytes += frame;
-  boost::system::error_code ec;
-  co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
-  co_return !ec;
+  for (std::size_t at = 0; at < bytes.size();) {
+    Code ec;
+    at += socket.write_some(asio::buffer(bytes.data() + at, bytes.size() - at), ec);
+    if (ec == asio::error::would_block) ec = co_await http::wait_for(socket, Socket::wait_write);
+    if (ec) co_return false;
+  }
+  co_return true;
 }
 
-asio::awaitable<std::optional<std::string>> read_frame(Stream& stream) {
-  std::array<unsigned char, 4> head{};
-  boost::system::error_code ec;
-  co_await asio::async_read(stream, asio::buffer(head), asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) co_return std::nullopt;
-  const auto size = boost::endian::load_big_u32(head.data());
-  if (size > kMaxFrame) co_return std::nullopt;  // not one of ours
-  std::string frame(size, '\0');
-  co_await asio::async_read(stream, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) co_return std::nullopt;
-  co_return frame;
+// One exchange at a time is under way on a connection, so a frame's bytes are all that comes.
+asio::awaitable<std::optional<std::string>> read_frame(Socket& socket) {
+  std::string bytes;
+  std::array<char, 4096> chunk;
+  std::optional<std::size_t> size;
+  while (!size || bytes.size() < kHead + *size) {
+    if (const Code ec = co_await http::wait_for(socket, Socket::wait_read)) co_return std::nullopt;
+    Code ec;
+    const auto n = socket.read_some(asio::buffer(chunk), ec);
+    if (ec && ec != asio::error::would_block) co_return std::nullopt;
+    bytes.append(chunk.data(), n);
+    if (!size && bytes.size() >= kHead) {
+      size = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(bytes.data()));
+      if (*size > kMaxFrame) co_return std::nullopt;  // not one of ours
+    }
+  }
+  if (bytes.size() > kHead + *size) co_return std::nullopt;
+  co_return bytes.substr(kHead);
 }
 
-asio::awaitable<void> session(tcp::socket socket, std::shared_ptr<FrameHandler> handler,
-                              std::shared_ptr<int> open) {
+asio::awaitable<void> session(Socket socket, std::shared_ptr<FrameHandler> handler, std::shared_ptr<int> open,
+                              std::shared_ptr<core::Deadlines> deadlines) {
   struct Count {
     std::shared_ptr<int> n;
     ~Count() { --*n; }
   } count{open};
-  Stream stream(std::move(socket));
+  Code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  core::Deadlines::Guard guard(std::move(deadlines), socket, core::Steady::now() + kIdle);
   while (true) {
-    stream.expires_after(std::chrono::seconds(60));
-    auto frame = co_await read_frame(stream);
+    guard.move_to(core::Steady::now() + kIdle);
+    auto frame = co_await read_frame(socket);
     if (!frame) co_return;
-    stream.expires_never();
-    const std::string answer = co_await (*handler)(std::move(*frame));
-    stream.expires_after(std::chrono::seconds(5));
-    if (!co_await write_frame(stream, answer)) co_return;
+    guard.move_to(core::TimePoint::max());  // handlers have deadlines of their own
+    std::string answer = co_await (*handler)(std::move(*frame));
+    guard.move_to(core::Steady::now() + kWrite);
+    if (!co_await write_frame(socket, std::move(answer))) co_return;
   }
 }
 
@@ -66,27 +83,26 @@
 
 asio::awaitable<std::optional<std::string>> TcpLink::call(std::string frame,
                                                           std::chrono::milliseconds limit) {
-  const auto deadline = std::chrono::steady_clock::now() + limit;
-  std::unique_ptr<Stream> stream;
-  if (!idle_.empty()) {
-    stream = std::move(idle_.back());
+  std::unique_ptr<Socket> socket;
+  const bool reused = !idle_.empty();
+  if (reused) {
+    socket = std::move(idle_.back());
     idle_.pop_back();
-    stream->expires_at(deadline);
   } else {
-    stream = std::make_unique<Stream>(executor_);
-    stream->expires_at(deadline);
-    boost::system::error_code ec;
+    socket = std::make_unique<Socket>(executor_);
+  }
+  const core::Deadlines::Guard guard(deadlines_, *socket, core::Steady::now() + limit);
+  if (!reused) {
+    Code ec;
     const tcp::endpoint to(asio::ip::make_address_v4(to_.host), to_.port);
-    co_await stream->async_connect(to, asio::redirect_error(asio::use_awaitable, ec));
+    co_await socket->async_connect(to, asio::redirect_error(asio::use_awaitable, ec));
     if (ec) co_return std::nullopt;
-    stream->socket().set_option(tcp::no_delay(true), ec);
-  }
-  if (!co_await write_frame(*stream, frame)) co_return std::nullopt;
-  auto answer = co_await read_frame(*stream);
-  if (answer && idle_.size() < kKeep) {
-    stream->expires_never();
-    idle_.push_back(std::move(stream));
+    socket->set_option(tcp::no_delay(true), ec);
+    socket->non_blocking(true, ec);
   }
+  if (!co_await write_frame(*socket, std::move(frame))) co_return std::nullopt;
+  auto answer = co_await read_frame(*socket);
+  if (answer && idle_.size() < kKeep && socket->is_open()) idle_.push_back(std::move(socket));
   co_return answer;
 }
 
@@ -95,6 +111,7 @@
   tcp::acceptor acceptor(executor, tcp::endpoint(asio::ip::make_address_v4(at.host), at.port));
   auto shared = std::make_shared<FrameHandler>(std::move(handler));
   auto open = std::make_shared<int>(0);
+  auto deadlines = std::make_shared<core::Deadlines>(executor, std::chrono::seconds(2));
   boost::system::error_code ec;
   while (true) {
     tcp::socket socket(executor);
@@ -107,7 +124,7 @@
       continue;
     }
     ++*open;
-    asio::co_spawn(executor, session(std::move(socket), shared, open), asio::detached);
+    asio::co_spawn(executor, session(std::move(socket), shared, open, deadlines), asio::detached);
   }
 }
 
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -3,7 +3,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "core/deadlines.hpp"
 
 namespace finchrun::peer {
 
@@ -28,15 +29,16 @@
 // Keeps a few connections to one member; calls don't wait for each other.
 class TcpLink : public Link {
  public:
-  TcpLink(asio::any_io_executor executor, config::Endpoint to)
-      : executor_(std::move(executor)), to_(std::move(to)) {}
+  TcpLink(std::shared_ptr<core::Deadlines> deadlines, asio::any_io_executor executor, config::Endpoint to)
+      : deadlines_(std::move(deadlines)), executor_(std::move(executor)), to_(std::move(to)) {}
   asio::awaitable<std::optional<std::string>> call(std::string frame,
                                                    std::chrono::milliseconds limit) override;
 
  private:
+  std::shared_ptr<core::Deadlines> deadlines_;
   asio::any_io_executor executor_;
   config::Endpoint to_;
-  std::vector<std::unique_ptr<boost::beast::tcp_stream>> idle_;
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> idle_;
 };
 
 using FrameHandler = std::function<asio::awaitable<std::string>(std::string)>;
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -28,6 +28,7 @@
 
 struct Demand {
   core::JobId job;
+  std::uint64_t job_stamp = 0;  // of the record that it was made from
   core::TeamId team;
   core::ImageId image;
   double image_gb = 0;
--- a/src/state/budget.hpp
+++ b/src/state/budget.hpp
@@ -20,6 +20,13 @@
     level_ -= n;
     return true;
   }
+  // What this controller may use has changed.
+  void resize(double per_s, double burst) {
+    rate_ = per_s;
+    burst_ = burst;
+    level_ = std::min(level_, burst);
+  }
+  [[nodiscard]] double burst() const { return burst_; }
   // The service said 429: others use the budget too; start again from empty.
   void refused(core::TimePoint now) {
     refill(now);
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -10,7 +10,7 @@
 
 std::uint64_t whole(const json::value& v) { return v.to_number<std::uint64_t>(); }
 
-// "run/req-1/zone.0" -> "run", "req-1/zone.0"
+// "runs/zone.0/3" -> "runs", "zone.0/3"
 std::pair<std::string_view, std::string_view> split(std::string_view key) {
   const auto slash = key.find('/');
   if (slash == std::string_view::npos) return {key, {}};
@@ -21,7 +21,7 @@
 
 namespace keys {
 std::string job(const std::string& id) { return "jobs/" + id; }
-std::string run(const std::string& id, const std::string& part) { return "run/" + id + "/" + part; }
+std::string shard(const std::string& part, const std::string& name) { return "runs/" + part + "/" + name; }
 std::string part(const std::string& part) { return "parts/" + part; }
 std::string member(const std::string& label) { return "members/" + label; }
 std::string team(const std::string& team) { return "teams/" + team; }
@@ -56,11 +56,11 @@
       } else {
         live_.erase(id);
       }
-    } else if (table == "run") {
-      const auto [job, part_name] = split(rest);
+    } else if (table == "runs") {
+      const auto [part_name, name] = split(rest);
       const auto part = names_.parts.find(part_name);
-      if (!part) return;
-      apply_run({names_.jobs.intern(job), *part}, e);
+      if (!part) throw std::runtime_error("records of an unknown part");
+      apply_shard(*part, std::string(name), e);
     } else if (table == "parts") {
       const auto part = names_.parts.find(rest);
       if (!part || gone) return;
@@ -109,6 +109,9 @@
     }
   } catch (const std::exception& x) {
     spdlog::error("state: record {} makes no sense: {}", e.key, x.what());
+    if (table == "runs") {
+      if (const auto part = names_.parts.find(split(rest).first)) unreadable_parts_.insert(*part);
+    }
     if (table != "jobs") return;
     // Never taken for absence: its user would be told that an accepted job is unknown.
     const auto id = names_.jobs.intern(rest);
@@ -125,6 +128,9 @@
 void Mirror::reset() {
   slots_.clear();
   with_runs_.clear();
+  shards_.clear();
+  shard_ids_.clear();
+  unreadable_parts_.clear();
   live_.clear();
   unreadable_.clear();
   on_machine_.clear();
@@ -142,54 +148,88 @@
   return slots_[id.v];
 }
 
-void Mirror::apply_run(RunKey key, const Event& e) {
-  auto& at = slot(key.first);
-  auto it =
-      std::find_if(at.runs.begin(), at.runs.end(), [&](const auto& r) { return r.first == key.second; });
-  if (it != at.runs.end() && e.stamp <= it->second.stamp) return;
-  // Read before the old record goes: one that makes no sense must not be taken for absence.
-  std::optional<jobs::RunRecord> next;
-  if (e.value) {
-    next = jobs::run_from_json(*e.value, names_);
-    next->stamp = e.stamp;
+void Mirror::apply_shard(core::PartId part, const std::string& name, const Event& e) {
+  const auto [at, fresh] = shard_ids_.try_emplace({part, name});
+  if (fresh) {
+    at->second = core::ShardId{static_cast<std::uint32_t>(shards_.size())};
+    shards_.push_back({part, name, 0, {}});
   }
+  const auto id = at->second;
+  if (e.stamp <= shards_[id.v].stamp) return;
+  // All of it is read before any of the old goes: a record that makes no sense must not be taken for absence.
+  std::vector<std::pair<core::JobId, jobs::RunRecord>> next;
+  if (e.value)
+    for (const auto& item : e.value->at("jobs").as_object())
+      next.emplace_back(names_.jobs.intern(std::string_view(item.key())),
+                        jobs::run_from_json(item.value(), names_));
   ++version_;
-  if (it != at.runs.end()) {
-    unindex(key, it->second);
-    at.runs.erase(it);
+  auto& shard = shards_[id.v];
+  const auto before = std::move(shard.jobs);
+  shard.jobs.clear();
+  shard.stamp = e.value ? e.stamp : 0;
+  for (auto& [job, run] : next) {
+    shard.jobs.push_back(job);
+    put_piece(job, id, std::move(run));
+  }
+  std::sort(shard.jobs.begin(), shard.jobs.end());
+  for (const auto job : before)
+    if (!std::binary_search(shard.jobs.begin(), shard.jobs.end(), job)) put_piece(job, id, {});
+}
+
+void Mirror::put_piece(core::JobId id, core::ShardId shard, jobs::RunRecord next) {
+  auto& at = slot(id);
+  const auto part = shards_[shard.v].part;
+  auto it =
+      std::find_if(at.pieces.begin(), at.pieces.end(), [&](const Piece& p) { return p.shard == shard; });
+  if (it != at.pieces.end()) {
+    if (it->run == next) return;
+    for (const auto& e : it->run.entries) {
+      const auto machine = on_machine_.find(e.machine);
+      if (machine == on_machine_.end()) continue;
+      std::erase_if(machine->second,
+                    [&](const Placed& p) { return p.job == id && p.part == part && p.entry == e; });
+      if (machine->second.empty()) on_machine_.erase(machine);
+    }
+    at.pieces.erase(it);
   }
-  if (next) {
-    index(key, *next);
-    const auto after =
-        std::find_if(at.runs.begin(), at.runs.end(), [&](const auto& r) { return r.first > key.second; });
-    at.runs.insert(after, {key.second, std::move(*next)});
+  if (!next.empty()) {
+    for (const auto& e : next.entries) on_machine_[e.machine].push_back({id, part, e});
+    at.pieces.push_back({part, shard, std::move(next)});
   }
-  if (at.runs.empty()) {
-    with_runs_.erase(key.first);
+  if (at.pieces.empty()) {
+    with_runs_.erase(id);
   } else {
-    with_runs_.insert(key.first);
+    with_runs_.insert(id);
   }
   at.done = at.placed = 0;
-  for (const auto& [_, run] : at.runs) {
-    at.done += run.done.size();
-    at.placed += static_cast<std::uint32_t>(run.entries.size());
+  for (const auto& p : at.pieces) {
+    at.done += p.run.done.size();
+    at.placed += static_cast<std::uint32_t>(p.run.entries.size());
   }
 }
 
-void Mirror::index(RunKey key, const jobs::RunRecord& run) {
-  for (const auto& e : run.entries) on_machine_[e.machine].push_back({key.first, key.second, e});
+const std::vector<Piece>& Mirror::pieces(core::JobId id) const {
+  static const std::vector<Piece> nothing;
+  return id.v < slots_.size() ? slots_[id.v].pieces : nothing;
 }
 
-void Mirror::unindex(RunKey key, const jobs::RunRecord& run) {
-  for (const auto& e : run.entries) {
-    const auto it = on_machine_.find(e.machine);
-    if (it == on_machine_.end()) continue;
-    std::erase_if(it->second, [&](const Placed& p) {
-      return p.job == key.first && p.part == key.second && p.entry.task == e.task &&
-             p.entry.attempt == e.attempt;
-    });
-    if (it->second.empty()) on_machine_.erase(it);
-  }
+std::optional<core::ShardId> Mirror::find_shard(core::PartId part, const std::string& name) const {
+  const auto it = shard_ids_.find({part, name});
+  if (it == shard_ids_.end()) return std::nullopt;
+  return it->second;
+}
+
+std::vector<core::ShardId> Mirror::shards(core::PartId part) const {
+  std::vector<core::ShardId> out;
+  for (auto it = shard_ids_.lower_bound({part, {}}); it != shard_ids_.end() && it->first.first == part; ++it)
+    if (shards_[it->second.v].stamp > 0) out.push_back(it->second);
+  return out;
+}
+
+const jobs::RunRecord* Mirror::run(core::JobId id, core::ShardId shard) const {
+  for (const auto& p : pieces(id))
+    if (p.shard == shard) return &p.run;
+  return nullptr;
 }
 
 const std::vector<Placed>& Mirror::on_machine(core::MachineId id) const {
@@ -202,13 +242,6 @@
   return id.v < slots_.size() && slots_[id.v].known ? &slots_[id.v].job : nullptr;
 }
 
-const jobs::RunRecord* Mirror::run(RunKey key) const {
-  if (key.first.v >= slots_.size()) return nullptr;
-  for (const auto& [part, run] : slots_[key.first.v].runs)
-    if (part == key.second) return &run;
-  return nullptr;
-}
-
 std::uint32_t Mirror::done(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].done : 0; }
 
 std::uint32_t Mirror::placed(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].placed : 0; }
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -36,7 +36,19 @@
   std::deque<std::vector<double>> windows;
   std::uint64_t stamp = 0;
 };
-using RunKey = std::pair<core::JobId, core::PartId>;
+// Run records of many jobs under one key, so that a round's changes cost the service few writes.
+struct Shard {
+  core::PartId part;
+  std::string name;
+  std::uint64_t stamp = 0;        // 0: not there (any more)
+  std::vector<core::JobId> jobs;  // that it holds something of
+};
+// What one shard holds of a job.
+struct Piece {
+  core::PartId part;
+  core::ShardId shard;
+  jobs::RunRecord run;
+};
 // An entry of some run record, as found by its machine.
 struct Placed {
   core::JobId job;
@@ -46,7 +58,7 @@
 
 namespace keys {
 std::string job(const std::string& id);
-std::string run(const std::string& id, const std::string& part);
+std::string shard(const std::string& part, const std::string& name);
 std::string part(const std::string& part);
 std::string member(const std::string& label);
 std::string team(const std::string& team);
@@ -76,13 +88,22 @@
   [[nodiscard]] bool unreadable(core::JobId id) const { return unreadable_.contains(id); }
   // Jobs that are accepted and not over.
   [[nodiscard]] const std::set<core::JobId>& live() const { return live_; }
-  // Calls f(key, record) for each run record of all jobs.
+  // Calls f(job, part, record) for each piece of all jobs.
   template <class F>
   void each_run(F&& f) const {
     for (const auto id : with_runs_)
-      for (const auto& [part, run] : slots_[id.v].runs) f(RunKey{id, part}, run);
+      for (const auto& p : slots_[id.v].pieces) f(id, p.part, p.run);
   }
-  [[nodiscard]] const jobs::RunRecord* run(RunKey key) const;
+  // All pieces of a job.
+  [[nodiscard]] const std::vector<Piece>& pieces(core::JobId id) const;
+  [[nodiscard]] const Shard& shard(core::ShardId id) const { return shards_.at(id.v); }
+  [[nodiscard]] std::optional<core::ShardId> find_shard(core::PartId part, const std::string& name) const;
+  // Shards of the part that are there.
+  [[nodiscard]] std::vector<core::ShardId> shards(core::PartId part) const;
+  // What the shard holds of the job; nothing if it holds none of it.
+  [[nodiscard]] const jobs::RunRecord* run(core::JobId id, core::ShardId shard) const;
+  // False once a record of the part can't be read: what runs there is not known then.
+  [[nodiscard]] bool readable(core::PartId part) const { return !unreadable_parts_.contains(part); }
   // Done tasks of a job over all parts.
   [[nodiscard]] std::uint32_t done(core::JobId id) const;
   [[nodiscard]] std::uint32_t placed(core::JobId id) const;
@@ -94,11 +115,10 @@
   void each_named_machine(F&& f) const {
     for (const auto& [id, list] : on_machine_) f(id, list);
   }
-  // Calls f(part, record) for each run record of the job.
+  // Calls f(part, record) for each piece of the job.
   template <class F>
   void each_run(core::JobId id, F&& f) const {
-    if (id.v >= slots_.size()) return;
-    for (const auto& [part, run] : slots_[id.v].runs) f(part, run);
+    for (const auto& p : pieces(id)) f(p.part, p.run);
   }
   [[nodiscard]] const Claim& claim(core::PartId p) const { return claims_.at(p.v); }
   [[nodiscard]] std::size_t parts() const { return claims_.size(); }
@@ -108,9 +128,9 @@
   [[nodiscard]] const UsageRecord& usage(core::PartId p) const { return usage_.at(p.v); }
 
  private:
-  void index(RunKey key, const jobs::RunRecord& run);
-  void unindex(RunKey key, const jobs::RunRecord& run);
-  void apply_run(RunKey key, const Event& e);
+  void apply_shard(core::PartId part, const std::string& name, const Event& e);
+  // Replaces what the shard holds of the job.
+  void put_piece(core::JobId id, core::ShardId shard, jobs::RunRecord next);
 
   jobs::Names& names_;
   std::uint64_t epoch_ = 0, newest_ = 0, version_ = 0;
@@ -119,11 +139,14 @@
     jobs::JobRecord job;
     bool known = false;  // there is a job record
     std::uint32_t done = 0, placed = 0;
-    std::vector<std::pair<core::PartId, jobs::RunRecord>> runs;
+    std::vector<Piece> pieces;
   };
   Slot& slot(core::JobId id);
   std::deque<Slot> slots_;
   std::set<core::JobId> with_runs_;
+  std::deque<Shard> shards_;
+  std::map<std::pair<core::PartId, std::string>, core::ShardId> shard_ids_;
+  std::set<core::PartId> unreadable_parts_;
   std::set<core::JobId> live_;
   std::set<core::JobId> unreadable_;
   std::unordered_map<core::MachineId, std::vector<Placed>> on_machine_;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -71,11 +71,19 @@
       detour_(std::move(detour)),
       requests_(part_of(s.state_rps, s.nodes), part_of(s.state_rps, s.nodes) * 0.7, core::Steady::now()),
       writes_(part_of(s.state_write_rps, s.nodes), part_of(s.state_write_rps, s.nodes), core::Steady::now()),
-      most_changes_(std::max<std::size_t>(
-          2, std::min<std::size_t>(static_cast<std::size_t>(s.state_txn_ops),
-                                   static_cast<std::size_t>(part_of(s.state_write_rps, s.nodes))))) {}
+      write_rps_(s.state_write_rps),
+      most_changes_(std::max<std::size_t>(2, static_cast<std::size_t>(s.state_txn_ops))) {}
 
-bool Store::spend(int writes) { return writes_.take(writes, 0, core::Steady::now()); }
+void Store::use_share_of_writes(double share) {
+  constexpr double kLeastBurst = 4;  // a few submissions that come together
+  const double rate = write_rps_ * std::min(1.0, share);
+  writes_.resize(rate, std::max(kLeastBurst, rate));
+}
+
+bool Store::spend(int writes) {
+  // More than a burst could never be there: it is let go when all of a burst is.
+  return writes_.take(std::min<double>(writes, writes_.burst()), 0, core::Steady::now());
+}
 
 // 503 means that the request was not executed, so it may be sent another way. Without any answer that is only
 // true of reads; a write might have been applied, and its caller must read it back.
@@ -129,6 +137,9 @@
       if (out.outcome == Outcome::malformed) spdlog::error("state: commit malformed: {}", answer.body);
       co_return out;
     case 429:
+      writes_.refused(core::Steady::now());
+      out.outcome = Outcome::refused;
+      co_return out;
     case 503:
       out.outcome = Outcome::refused;
       co_return out;
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -76,8 +76,10 @@
   asio::awaitable<http::Answer> forward(http::Verb verb, std::string target, std::string body);
   // Room for `writes` changes now? Spends it.
   bool spend(int writes);
-  // Most changes that one transaction may hold: more than a burst of the budget could never be spent at once.
+  // Most changes that one transaction may hold.
   [[nodiscard]] std::size_t most_changes() const { return most_changes_; }
+  // Owners write most: of the changes that all controllers may make together, this one takes so much.
+  void use_share_of_writes(double share);
 
  private:
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body, double reserve);
@@ -90,6 +92,7 @@
   core::TimePoint refused_at_{};  // when the service last answered 503 to us
   Budget requests_;
   Budget writes_;
+  double write_rps_ = 0;
   std::size_t most_changes_ = 2;
 };
 
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -50,6 +50,12 @@
   return !it->second.answered_seq || r.seq <= *it->second.answered_seq;
 }
 
+bool is_done(const state::Mirror& mirror, core::JobId id, std::uint32_t task) {
+  bool done = false;
+  mirror.each_run(id, [&](core::PartId, const jobs::RunRecord& r) { done = done || r.done.contains(task); });
+  return done;
+}
+
 }  // namespace
 
 bool gang_broken(const jobs::JobRecord& job, const state::Mirror& mirror, const Fleet& fleet,
@@ -112,7 +118,6 @@
       continue;
     }
     const auto* job = ctx.mirror.job(job_id);
-    const auto* run = ctx.mirror.run({job_id, part});
     const std::string& job_name = ctx.names.jobs.name(job_id);
     const wire::Piece* piece = nullptr;
     for (std::size_t i = 0; i < r.pieces.size(); ++i) {
@@ -141,7 +146,8 @@
     }
     const auto stop = ctx.fleet.to_stop.find(start);
     const bool unwanted = !live || stop != ctx.fleet.to_stop.end() ||
-                          gang_broken(*job, ctx.mirror, ctx.fleet, job_id) || run->done.contains(e.task);
+                          gang_broken(*job, ctx.mirror, ctx.fleet, job_id) ||
+                          is_done(ctx.mirror, job_id, e.task);
     if (!piece) {
       if (trusted && !ctx.direct && !may_still_start(ctx, start, r) &&
           (unwanted || ctx.fleet.seen.contains(start))) {
--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -177,7 +177,7 @@
   c.run(160);
   expect_rules(c);
 }
-INSTANTIATE_TEST_SUITE_P(Seeds, RandomDay, testing::Range(100u, 112u));
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomDay, testing::Range(100u, 116u));
 
 }  // namespace
 }  // namespace finchrun::sim
--- /dev/null
+++ b/tests/ledger/allowance_test.cpp
@@ -0,0 +1,46 @@
+#include "ledger/allowance.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchrun::ledger {
+namespace {
+
+using core::PartId;
+
+double total(const Allowances& a, std::uint32_t parts) {
+  double sum = 0;
+  for (std::uint32_t p = 0; p < parts; ++p) sum += a.share(PartId{p}).gpus;
+  return sum;
+}
+
+struct Case {
+  const char* name;
+  double wish;     // of part 0
+  double used[3];  // by part
+  double share[3];
+};
+class Give : public testing::TestWithParam<Case> {};
+TEST_P(Give, MovesOnlyWhatIsSpareAndWished) {
+  const auto& c = GetParam();
+  Allowances a({0, 30, 0}, 3);
+  a.ask(PartId{0}, {0, c.wish, 0});
+  for (std::uint32_t p = 1; p < 3; ++p) a.give(PartId{p}, {0, c.used[p], 0});
+  for (std::uint32_t p = 0; p < 3; ++p) EXPECT_DOUBLE_EQ(a.share(PartId{p}).gpus, c.share[p]) << p;
+  EXPECT_DOUBLE_EQ(total(a, 3), 30);
+}
+INSTANTIATE_TEST_SUITE_P(Table, Give,
+                         testing::Values(Case{"no_wish", 0, {0, 0, 0}, {10, 10, 10}},
+                                         Case{"one_gives_all", 4, {0, 2, 0}, {14, 6, 10}},
+                                         Case{"both_give", 16, {0, 2, 0}, {26, 2, 2}},
+                                         Case{"what_is_used_stays", 20, {0, 9, 10}, {11, 9, 10}},
+                                         Case{"never_more_than_the_limit", 99, {0, 0, 0}, {30, 0, 0}}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(Allowances, NoLimitIsNotDealtOut) {
+  Allowances a({0, 0, 0}, 2);
+  a.ask(PartId{0}, {8, 1, 0});
+  EXPECT_FALSE(a.give(PartId{1}, {}));
+}
+
+}  // namespace
+}  // namespace finchrun::ledger
--- a/tests/state/mirror_test.cpp
+++ b/tests/state/mirror_test.cpp
@@ -16,12 +16,19 @@
   Mirror mirror;
 };
 json::value run(const char* text) { return json::parse(text); }
+// One shard of part a.0, holding something of req-1.
+json::value shard(const char* piece) {
+  return json::parse(std::string(R"({"jobs":{"req-1":)") + piece + "}}");
+}
+constexpr const char* kPlaced = R"({"p":[[7,[["m",1,[0]]]]],"d":[]})";
+constexpr const char* kPlacedAgain = R"({"p":[[9,[["m",1,[0]]]]],"d":[]})";
+constexpr const char* kDone = R"({"p":[],"d":[[0,1]]})";
 
 TEST(Mirror, RepeatsAndOlderChangesDoNoHarm) {
   Bed b;
-  b.mirror.apply({"run/req-1/a.0", run(R"({"p":[[0,7,"m",1]],"d":[]})"), 10});
-  b.mirror.apply({"run/req-1/a.0", run(R"({"p":[],"d":[[0,1]]})"), 12});
-  b.mirror.apply({"run/req-1/a.0", run(R"({"p":[[0,7,"m",1]],"d":[]})"), 10});
+  b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
+  b.mirror.apply({"runs/a.0/0", shard(kDone), 12});
+  b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
   EXPECT_EQ(b.mirror.done(core::JobId{0}), 1u);
   EXPECT_EQ(b.mirror.placed(core::JobId{0}), 0u);
 }
@@ -29,13 +36,40 @@
 TEST(Mirror, OwnDeletionIsNotUndoneByAnOlderValue) {
   Bed b;
   b.mirror.synced(5);
-  b.mirror.apply({"run/req-1/a.0", run(R"({"p":[[0,7,"m",1]],"d":[]})"), 10});
-  b.mirror.apply({"run/req-1/a.0", std::nullopt, 12});
-  b.mirror.apply({"run/req-1/a.0", run(R"({"p":[[0,7,"m",1]],"d":[]})"), 11});
+  b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
+  b.mirror.apply({"runs/a.0/0", std::nullopt, 12});
+  b.mirror.apply({"runs/a.0/0", shard(kPlaced), 11});
   EXPECT_EQ(b.mirror.placed(core::JobId{0}), 0u);
   b.mirror.synced(12);
-  b.mirror.apply({"run/req-1/a.0", run(R"({"p":[[0,9,"m",1]],"d":[]})"), 13});
+  b.mirror.apply({"runs/a.0/0", shard(kPlacedAgain), 13});
+  EXPECT_EQ(b.mirror.placed(core::JobId{0}), 1u);
+}
+
+TEST(Mirror, FindsEntriesByMachineAsRecordsChange) {
+  Bed b;
+  b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
+  const auto m = *b.names.machines.find("m");
+  ASSERT_EQ(b.mirror.on_machine(m).size(), 1u);
+  EXPECT_EQ(b.mirror.on_machine(m)[0].entry.attempt, 7u);
+  // Another shard of the part holds more of the job; both count.
+  b.mirror.apply({"runs/a.0/1", shard(R"({"p":[[8,[["m",1,[1,2]]]]],"d":[[3,5]]})"), 11});
+  EXPECT_EQ(b.mirror.on_machine(m).size(), 3u);
+  EXPECT_EQ(b.mirror.placed(core::JobId{0}), 3u);
+  EXPECT_EQ(b.mirror.done(core::JobId{0}), 2u);
+  b.mirror.apply({"runs/a.0/0", run(R"({"jobs":{}})"), 12});
+  EXPECT_EQ(b.mirror.on_machine(m).size(), 2u);
+}
+
+TEST(Mirror, UnreadableRecordsAreNeverTakenForAbsence) {
+  Bed b;
+  b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
+  EXPECT_TRUE(b.mirror.readable(core::PartId{0}));
+  b.mirror.apply({"runs/a.0/0", shard(R"({"p":"?"})"), 11});
   EXPECT_EQ(b.mirror.placed(core::JobId{0}), 1u);
+  EXPECT_FALSE(b.mirror.readable(core::PartId{0})) << "what runs there is not known any more";
+  b.mirror.apply({"jobs/req-7", run(R"({"st":"live"})"), 12});
+  EXPECT_EQ(b.mirror.job(*b.names.jobs.find("req-7")), nullptr);
+  EXPECT_TRUE(b.mirror.unreadable(*b.names.jobs.find("req-7")));
 }
 
 TEST(Mirror, SenselessRecordsAreLeftOut) {
--- a/tests/worker/reports_test.cpp
+++ b/tests/worker/reports_test.cpp
@@ -2,9 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace finchrun::worker {
 namespace {
 
+namespace json = boost::json;
 using wire::Cause;
 using wire::Order;
 using wire::TaskState;
@@ -34,7 +37,8 @@
   void set_entries(std::vector<jobs::Entry> entries, std::uint64_t stamp) {
     jobs::RunRecord run;
     run.entries = std::move(entries);
-    mirror.apply({"run/req-1/a.0", jobs::to_json(run, names), stamp});
+    mirror.apply(
+        {"runs/a.0/0", json::object{{"jobs", json::object{{"req-1", jobs::to_json(run, names)}}}}, stamp});
   }
   void cancel() {
     jobs::JobRecord r = *mirror.job(core::JobId{0});
@@ -49,7 +53,7 @@
     r.seq = seq;
     r.token = token;
     r.pieces = std::move(pieces);
-    return take_report({names, mirror, fleet, trouble, 50, now}, *machine, r);
+    return take_report({names, mirror, fleet, trouble, 50, now, 10}, *machine, r);
   }
   jobs::Names names;
   state::Mirror mirror;
@@ -137,6 +141,74 @@
   EXPECT_TRUE(bed.fleet.facts.empty());
 }
 
+// The worker's answer to a direct order overtakes the answer to its report, in which starts may be.
+TEST(Reports, AnswersToDirectOrdersProveNoAbsence) {
+  Bed bed;
+  bed.cancel();
+  wire::Report r;
+  r.machine = "m";
+  r.session = 2;
+  r.seq = 10;
+  r.token = 50;
+  take_report({bed.names, bed.mirror, bed.fleet, bed.trouble, 50, bed.now, 10, true, true}, *bed.machine, r);
+  EXPECT_TRUE(bed.fleet.facts.empty());
+  EXPECT_EQ(bed.machine->seq, 10u);
+}
+
+TEST(Reports, NothingStartsWithoutNews) {
+  Bed bed;
+  wire::Report r;
+  r.machine = "m";
+  r.session = 2;
+  r.seq = 10;
+  r.token = 50;
+  const auto out = take_report({bed.names, bed.mirror, bed.fleet, bed.trouble, 50, bed.now, 10, false, false},
+                               *bed.machine, r);
+  EXPECT_TRUE(out.orders.empty());
+}
+
+struct DeafCase {
+  const char* name;
+  std::function<void(Bed&)> then;
+  bool deaf;
+};
+class Deaf : public testing::TestWithParam<DeafCase> {};
+// Its session went up although its reports came: what we say may not reach it.
+TEST_P(Deaf, UntilSomethingShowsThatOrdersArrive) {
+  Bed bed;
+  bed.set_entries({}, 45);
+  bed.report(2, 10, 50, {});
+  EXPECT_FALSE(bed.machine->deaf());
+  bed.report(3, 11, 50, {});
+  EXPECT_TRUE(bed.machine->deaf());
+  GetParam().then(bed);
+  EXPECT_EQ(bed.machine->deaf(), GetParam().deaf);
+}
+INSTANTIATE_TEST_SUITE_P(Table, Deaf,
+                         testing::Values(DeafCase{"reports_alone_show_nothing",
+                                                  [](Bed& b) { b.report(3, 12, 50, {}); }, true},
+                                         DeafCase{"a_session_that_outlives_a_lease_was_answered",
+                                                  [](Bed& b) {
+                                                    b.now += core::secs(12);
+                                                    b.report(3, 12, 50, {});
+                                                  },
+                                                  false},
+                                         DeafCase{"another_lost_session_counts_anew",
+                                                  [](Bed& b) {
+                                                    b.now += core::secs(12);
+                                                    b.report(4, 12, 50, {});
+                                                    b.now += core::secs(5);
+                                                    b.report(4, 13, 50, {});
+                                                  },
+                                                  true},
+                                         DeafCase{"a_start_of_ours_is_seen",
+                                                  [](Bed& b) {
+                                                    b.set_entries({{0, 9, b.machine->id, 3}}, 55);
+                                                    b.report(3, 12, 50, {piece(9, TaskState::fetching)});
+                                                  },
+                                                  false}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 TEST(Reports, SeenThenAbsentIsGone) {
   Bed bed;
   bed.report(2, 10, 50, {piece(7, TaskState::running)});
