Ends ride with placements, users' changes kept apart, an alone controller is not healthy

A controller that had lost state service and members counted as healthy and would have drawn every new user.

Ruled out: latency of accepted submissions (p50 10 ms).

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -30,6 +30,7 @@
       settings_(s),
       tuning_(t),
       links_(std::move(links)),
+      member_heard_(links_.size()),
       member_news_(links_.size()),
       store_(network, s, detour()),
       cloud_(network, s),
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -139,6 +139,7 @@
   http::Response report(const std::string& body);
   http::Response status_of(core::JobId id);
   bool without_news();
+  bool healthy();
 
   asio::awaitable<void> sleep(double seconds);
   [[nodiscard]] core::Steady::duration jitter(double seconds);
@@ -148,6 +149,7 @@
   const config::Settings settings_;
   const config::Tuning tuning_;
   std::vector<std::unique_ptr<peer::Link>> links_;  // by member
+  std::vector<core::TimePoint> member_heard_;       // when each last answered a ping
   std::vector<core::TimePoint> member_news_;  // how new each member's view of the state service is, at least
   state::Store store_;
   cloud::Cloud cloud_;
--- a/src/app/evictions.cpp
+++ b/src/app/evictions.cpp
@@ -22,9 +22,7 @@
       if (!job || job->status != jobs::Status::live) continue;
       const worker::Start start{id, e.task, e.attempt};
       if (w.fleet.to_stop.contains(start)) continue;
-      if (w.fleet.facts.contains({id, part, e.task, e.attempt, true}) ||
-          w.fleet.facts.contains({id, part, e.task, e.attempt, false}))
-        continue;
+      if (w.fleet.ended(id, part, e)) continue;
       const auto seen = w.fleet.seen.find(start);
       const double ran = seen == w.fleet.seen.end() ? 0 : core::since(seen->second, now);
       sched::Running r;
--- a/src/app/peer_loop.cpp
+++ b/src/app/peer_loop.cpp
@@ -68,8 +68,10 @@
   std::string request = ping_frame(settings_.label, age);
   const auto frame = co_await links_[member]->call(std::move(request), std::chrono::milliseconds(1500));
   const auto message = frame ? peer::decode(*frame) : std::nullopt;
-  if (const auto* pong = message ? std::get_if<peer::Ping>(&*message) : nullptr)
+  if (const auto* pong = message ? std::get_if<peer::Ping>(&*message) : nullptr) {
+    member_heard_[member] = core::Steady::now();
     member_news_[member] = std::max(member_news_[member], sent - core::secs(pong->news_age_s));
+  }
 }
 
 asio::awaitable<void> Controller::peer_loop() {
--- a/src/app/ranges.cpp
+++ b/src/app/ranges.cpp
@@ -127,7 +127,7 @@
                                w.names.parts.name(best->part));
     }
   });
-  if (!move || !store_.spend(1)) co_return;
+  if (!move || !store_.spend(1, state::Store::For::records)) co_return;
   const auto result = co_await commit(std::move(move->txn));
   if (result.outcome == Outcome::done) spdlog::info("{}", move->text);
 }
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -8,29 +8,6 @@
 
 using state::Outcome;
 
-// Facts whose entry is recorded no more, or whose part is another owner's, are settled.
-void drop_settled(World& w) {
-  for (auto it = w.fleet.facts.begin(); it != w.fleet.facts.end();) {
-    const auto& f = *it;
-    bool current = false;
-    for (const auto& p : w.mirror.pieces(f.job))
-      current = current || (p.part == f.part &&
-                            std::any_of(p.run.entries.begin(), p.run.entries.end(), [&](const auto& e) {
-                              return e.task == f.task && e.attempt == f.attempt;
-                            }));
-    if (current && w.owns(f.part)) {
-      ++it;
-      continue;
-    }
-    const worker::Start start{f.job, f.task, f.attempt};
-    w.fleet.seen.erase(start);
-    w.fleet.to_stop.erase(start);
-    if (auto s = w.fleet.sent.find(start); s != w.fleet.sent.end())
-      if (s->second.answered_seq || s->second.token != w.token(f.part)) w.fleet.sent.erase(s);
-    it = w.fleet.facts.erase(it);
-  }
-}
-
 void finish_job(const World& w, core::JobId id, const jobs::JobRecord& job, Edit& e) {
   const auto key = state::keys::job(w.names.jobs.name(id));
   e.require(key, job.stamp);
@@ -64,13 +41,14 @@
 asio::awaitable<void> Controller::flush() {
   std::vector<Edit> edits;
   world_.with([&](World& w) {
-    drop_settled(w);
+    w.drop_settled();
     for (std::uint32_t p = 0; p < w.parts.size(); ++p)
       if (w.acting(core::PartId{p})) edits.push_back(settle_part(w, core::PartId{p}));
   });
   for (auto& e : edits) {
     if (e.then.empty()) continue;
-    if (!store_.spend(static_cast<int>(e.then.size()))) co_return;  // the rest in the next flush
+    if (!store_.spend(static_cast<int>(e.then.size()), state::Store::For::records))
+      co_return;  // the rest in the next flush
     state::Txn txn{e.when, std::move(e.then)};
     const auto result = co_await commit(std::move(txn));
     if (result.outcome == Outcome::done) {
--- a/src/app/rounds.cpp
+++ b/src/app/rounds.cpp
@@ -117,6 +117,7 @@
 bool Controller::look(World& w, RoundView& v, core::TimePoint now) {
   if (!w.loaded || w.fleet.flavors.empty() || core::since(w.synced_at, now) > 2.0) return false;
   const double wall = core::wall_s();
+  w.drop_settled();
   v.shares = w.shares;
   v.attempt = w.mirror.newest() + 1;
   const auto used = w.used_by_part();
@@ -187,6 +188,10 @@
     return e;
   }
   PartWriter writer(w, part);
+  // The room that was counted on: its end must be recorded with what takes its place. What does not fit into
+  // this transaction has ended all the same.
+  for (const auto& f : w.fleet.facts)
+    if (f.part == part) writer.settle(f);
   const auto most_conditions = static_cast<std::size_t>(4 * w.s.state_txn_ops);
   const auto& part_name = w.names.parts.name(part);
   for (; at < all.size() && all[at].part == part; ++at) {
@@ -298,7 +303,7 @@
   for (std::size_t at = 0; at < placings.size();) {
     Edit e = world_.with([&](World& w) { return record(w, placings, at, attempt); });
     if (e.then.empty()) continue;
-    if (!store_.spend(static_cast<int>(e.then.size()))) {
+    if (!store_.spend(static_cast<int>(e.then.size()), state::Store::For::records)) {
       next_round_ = std::min(next_round_, core::Steady::now() + core::secs(0.4));
       co_return;
     }
@@ -353,7 +358,7 @@
     }
   });
   for (auto& r : raises) {
-    if (!store_.spend(1)) co_return;
+    if (!store_.spend(1, state::Store::For::records)) co_return;
     const auto result = co_await commit(std::move(r.txn));
     if (result.outcome != Outcome::done) continue;
     world_.with([&](World& w) {
@@ -449,7 +454,7 @@
   });
   // One transaction each: a conflict over one team must not hold up the others.
   for (auto& e : edits) {
-    if (!store_.spend(1)) co_return;
+    if (!store_.spend(1, state::Store::For::records)) co_return;
     state::Txn txn{e.when, std::move(e.then)};
     const auto result = co_await commit(std::move(txn));
     // Applied late, it would take away an allowance that is in use by then.
--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -45,11 +45,7 @@
   }
   if (path == "/up") {
     if (!get) co_return error(405, "method not allowed");
-    // In an outage shared by all, being taken out would only cost users a slow return: they are answered 503
-    // either way. A node that alone has no news leaves the users to those that have.
-    const auto now = core::Steady::now();
-    const bool news = world_.with([&](World& w) { return w.loaded && core::since(w.synced_at, now) < 3.0; });
-    if (!news && member_with_news()) co_return later("no news from the state service");
+    if (!healthy()) co_return later("no news from the state service");
     co_return http::Response{200, "{}"};
   }
   if (path == kJobs) {
@@ -90,6 +86,18 @@
   });
 }
 
+// In an outage shared by all, being taken out would only cost users a slow return: they are answered 503
+// either way. A node that alone has no news, or that nobody answers any more, leaves the users to the others:
+// it would turn each of them away at once, have few connections for it, and so be given the next ones too.
+bool Controller::healthy() {
+  constexpr double kFresh = 3.0, kHeard = 4.0;
+  const auto now = core::Steady::now();
+  if (world_.with([&](World& w) { return w.loaded && core::since(w.synced_at, now) < kFresh; })) return true;
+  const bool alone = std::none_of(member_heard_.begin(), member_heard_.end(),
+                                  [&](core::TimePoint t) { return core::since(t, now) < kHeard; });
+  return !member_with_news() && !(alone && !links_.empty());
+}
+
 // Nothing can be proved or recorded at present, directly or through a member: that is said at once.
 bool Controller::without_news() {
   constexpr double kPatience = 2.0;
@@ -164,7 +172,7 @@
   }
   if (next == Next::known || next == Next::never) co_return co_await query(s.id);
 
-  if (!store_.spend(1)) co_return later("too many submissions");
+  if (!store_.spend(1, state::Store::For::users)) co_return later("too many submissions");
   const auto result = co_await commit(std::move(txn));
   switch (result.outcome) {
     case Outcome::done:
@@ -208,7 +216,7 @@
     if (without_news()) co_return later("no news from the state service");
     if (next == Next::go) {
       // Not held up by the write budget: cancellations must not be starved by anything.
-      store_.spend(1);
+      store_.spend(1, state::Store::For::users);
       const auto result = co_await commit(std::move(txn));
       if (result.outcome == Outcome::done) {
         spdlog::info("cancelled job={}", id);
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -31,10 +31,28 @@
 core::Resources World::used_on(core::MachineId id) const {
   core::Resources used;
   for (const auto& p : mirror.on_machine(id))
-    if (const auto* job = mirror.job(p.job)) used += job->spec.need;
+    if (const auto* job = mirror.job(p.job); job && !fleet.ended(p.job, p.part, p.entry))
+      used += job->spec.need;
   return used;
 }
 
+// Facts whose entry is recorded no more, or whose part is another owner's, are settled.
+void World::drop_settled() {
+  for (auto it = fleet.facts.begin(); it != fleet.facts.end();) {
+    const auto& f = *it;
+    if (owns(f.part) && mirror.has_entry(f.job, f.part, f.task, f.attempt)) {
+      ++it;
+      continue;
+    }
+    const worker::Start start{f.job, f.task, f.attempt};
+    fleet.seen.erase(start);
+    fleet.to_stop.erase(start);
+    if (auto s = fleet.sent.find(start); s != fleet.sent.end())
+      if (s->second.answered_seq || s->second.token != token(f.part)) fleet.sent.erase(s);
+    it = fleet.facts.erase(it);
+  }
+}
+
 std::vector<std::vector<core::Resources>> World::used_by_part() const {
   std::vector<std::vector<core::Resources>> used(parts.size(), std::vector<core::Resources>(s.teams.size()));
   mirror.each_run([&](core::JobId id, core::PartId part, const jobs::RunRecord& run) {
@@ -42,6 +60,13 @@
     if (!job || job->spec.team.v >= s.teams.size()) return;
     used[part.v][job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
   });
+  for (const auto& f : fleet.facts) {
+    // Told as done and as gone: one entry all the same.
+    if (f.done && fleet.facts.contains({f.job, f.part, f.task, f.attempt, false})) continue;
+    const auto* job = mirror.job(f.job);
+    if (job && job->spec.team.v < s.teams.size() && mirror.has_entry(f.job, f.part, f.task, f.attempt))
+      used[f.part.v][job->spec.team.v] -= job->spec.need;
+  }
   return used;
 }
 
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -101,7 +101,10 @@
   // A job of a lane of which only deadlines are asked, with time left to start later and still make it.
   [[nodiscard]] bool patient(const jobs::JobSpec& spec, double now_s) const;
   [[nodiscard]] core::Resources used_on(core::MachineId id) const;
-  // Booked by each team in each part: [part][team].
+  // Facts whose entry is recorded no more, or whose part is another owner's, are settled.
+  void drop_settled();
+  // Booked by each team in each part: [part][team]. What is known to have ended is not counted: its end is
+  // recorded no later than what takes its place.
   [[nodiscard]] std::vector<std::vector<core::Resources>> used_by_part() const;
   [[nodiscard]] std::vector<core::Resources> used_by_team() const;
   [[nodiscard]] ledger::Allowances allowances(core::TeamId team) const;
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -18,7 +18,6 @@
     writer_wake_.expires_after(core::secs(tuning_.flush_s));
     co_await writer_wake_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     share_writes();
-    co_await flush();
     const auto now = core::Steady::now();
     // A round comes early when a job has arrived or room has been freed; never more often than the least gap.
     const auto version = world_.with([](World& w) { return w.mirror.version(); });
@@ -27,8 +26,12 @@
       round_seconds_ = std::min(tuning_.round_s * 2, core::since(last_round_, now));
       last_round_ = now;
       round_version_ = version;
+      // Its transactions take along what has ended, so that a flush has little left to write.
       co_await round();
+      co_await flush();
       co_await move_ranges();
+    } else {
+      co_await flush();
     }
     if (now >= next_usage) {
       next_usage = now + jitter(tuning_.window_s / 3);
@@ -40,7 +43,7 @@
 // Owners of parts write most; the others only what users ask of them. Together a little more than there is,
 // since they seldom all use theirs.
 void Controller::share_writes() {
-  constexpr double kOwners = 1.1, kOthers = 0.25;
+  constexpr double kOwners = 1.0, kOthers = 0.25;
   store_.use_share_of_writes(world_.with([&](World& w) {
     std::set<std::string> owners;
     for (std::uint32_t p = 0; p < w.parts.size(); ++p)
@@ -72,7 +75,7 @@
     }
   });
   for (auto& txn : txns) {
-    if (!store_.spend(1)) co_return;
+    if (!store_.spend(1, state::Store::For::records)) co_return;
     co_await commit(std::move(txn));
   }
 }
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -238,6 +238,15 @@
   return it == on_machine_.end() ? nothing : it->second;
 }
 
+bool Mirror::has_entry(core::JobId id, core::PartId part, std::uint32_t task, std::uint64_t attempt) const {
+  for (const auto& p : pieces(id)) {
+    if (p.part != part) continue;
+    for (const auto& e : p.run.entries)
+      if (e.task == task && e.attempt == attempt) return true;
+  }
+  return false;
+}
+
 const jobs::JobRecord* Mirror::job(core::JobId id) const {
   return id.v < slots_.size() && slots_[id.v].known ? &slots_[id.v].job : nullptr;
 }
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -102,6 +102,8 @@
   [[nodiscard]] std::vector<core::ShardId> shards(core::PartId part) const;
   // What the shard holds of the job; nothing if it holds none of it.
   [[nodiscard]] const jobs::RunRecord* run(core::JobId id, core::ShardId shard) const;
+  [[nodiscard]] bool has_entry(core::JobId id, core::PartId part, std::uint32_t task,
+                               std::uint64_t attempt) const;
   // False once a record of the part can't be read: what runs there is not known then.
   [[nodiscard]] bool readable(core::PartId part) const { return !unreadable_parts_.contains(part); }
   // Done tasks of a job over all parts.
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -80,9 +80,11 @@
   writes_.resize(rate, std::max(kLeastBurst, rate));
 }
 
-bool Store::spend(int writes) {
+bool Store::spend(int writes, For what) {
+  const double kept = what == For::records ? 0.25 : 0;
   // More than a burst could never be there: it is let go when all of a burst is.
-  return writes_.take(std::min<double>(writes, writes_.burst()), 0, core::Steady::now());
+  const double n = std::min<double>(writes, writes_.burst() * (1 - kept));
+  return writes_.take(n, kept, core::Steady::now());
 }
 
 // 503 means that the request was not executed, so it may be sent another way. Without any answer that is only
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -74,8 +74,9 @@
   asio::awaitable<int> extend(std::uint64_t hold);
   // Another controller's request, sent on as it is; never by our own detour.
   asio::awaitable<http::Answer> forward(http::Verb verb, std::string target, std::string body);
-  // Room for `writes` changes now? Spends it.
-  bool spend(int writes);
+  // Room for `writes` changes now? Spends it. Records leave some of each burst to what users wait for.
+  enum class For { users, records };
+  bool spend(int writes, For what);
   // Most changes that one transaction may hold.
   [[nodiscard]] std::size_t most_changes() const { return most_changes_; }
   // Owners write most: of the changes that all controllers may make together, this one takes so much.
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -123,6 +123,10 @@
   }
 
   std::set<Fact> facts;
+  [[nodiscard]] bool ended(core::JobId job, core::PartId part, const jobs::Entry& e) const {
+    return facts.contains({job, part, e.task, e.attempt, false}) ||
+           facts.contains({job, part, e.task, e.attempt, true});
+  }
   std::map<Start, core::TimePoint> seen;  // starts that a report has shown on their machine, and since when
   std::map<Start, Sent> sent;
   // Machines whose deletion was answered: no late report or list brings them back.
--- a/tests/state/store_test.cpp
+++ b/tests/state/store_test.cpp
@@ -108,7 +108,25 @@
     Scripted net;
     Store store(net, settings(rps, 16));
     EXPECT_LE(store.most_changes(), 16u);
-    EXPECT_TRUE(store.spend(static_cast<int>(store.most_changes()))) << rps;
+    EXPECT_TRUE(store.spend(static_cast<int>(store.most_changes()), Store::For::records)) << rps;
+  }
+}
+
+// Five controllers, two of them owners: together they ask for little more than the service grants, the owners
+// can write a round's shards at once, and records never take what a submission needs.
+TEST(WriteBudget, IsSharedByWhoOwnsParts) {
+  for (const double rps : {20.0, 50.0}) {
+    Scripted net;
+    Store owner(net, settings(rps, 16)), other(net, settings(rps, 16));
+    owner.use_share_of_writes(1.0 / 2);
+    other.use_share_of_writes(0.25 / 3);
+    EXPECT_TRUE(owner.spend(6, Store::For::records)) << rps;
+    while (owner.spend(1, Store::For::records)) continue;
+    EXPECT_TRUE(owner.spend(2, Store::For::users)) << rps;
+    int n = 0;
+    while (other.spend(1, Store::For::users)) ++n;
+    EXPECT_GE(n, 4) << "submissions that come together";
+    EXPECT_LE(n, rps / 4);
   }
 }
 
