After a long gap the store is read in pages, and nothing is decided until it is current

A mirror filled from pages may lack own writes, and reports judged by it would have running tasks stopped as unknown, so it counts only after the next read of changes.

--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -91,9 +91,10 @@
   world_.with([&](World& w) {
     w.mirror.reset();
     for (const auto& e : all) w.mirror.apply(e);
-    // Pages are read one after the other: changes since the first one are read again.
+    // Pages are read one after the other, and own writes may be newer than they: not to be decided from until
+    // the changes since the first one have been read. A report would find its tasks unknown and stop them.
     w.mirror.synced(*epoch);
-    w.loaded = true;
+    w.loaded = false;
   });
   spdlog::info("state loaded keys={} epoch={}", all.size(), *epoch);
   co_return true;
@@ -101,16 +102,27 @@
 
 asio::awaitable<void> Controller::sync_loop() {
   boost::system::error_code ec;
+  // After a cut or an outage all changes since would come in one answer, as large as they are; everything in
+  // pages is less, and what is known is kept until it has come.
+  constexpr double kLongGap = 8;
+  bool filled = false;
   while (true) {
-    if (!world_.with([](World& w) { return w.loaded; })) {
-      if (!co_await load()) co_await sleep(0.3);
-      continue;
+    const double gap = world_.with([](World& w) {
+      return w.synced_at == core::TimePoint{} ? 0 : core::since(w.synced_at, core::Steady::now());
+    });
+    if (!filled || gap > kLongGap) {
+      if (!co_await load()) {
+        co_await sleep(0.3);
+        continue;
+      }
+      filled = true;
     }
     const auto from = world_.with([](World& w) { return w.mirror.epoch(); });
     const auto sent = core::Steady::now();
     const auto changes = co_await store_.changes(from);
     if (changes.kind == state::Changes::Kind::too_old) {
       world_.with([](World& w) { w.loaded = false; });
+      filled = false;
       continue;
     }
     if (changes.kind == state::Changes::Kind::ok) {
@@ -118,6 +130,7 @@
         for (const auto& e : changes.events) w.mirror.apply(e);
         w.mirror.synced(changes.epoch);
         w.synced_at = sent;
+        w.loaded = true;
       });
       for (auto it = waiters_.begin(); it != waiters_.end();) {
         if ((*it)->arrived <= sent) {
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -41,6 +41,7 @@
 asio::awaitable<void> Controller::flush() {
   std::vector<Edit> edits;
   world_.with([&](World& w) {
+    if (!w.loaded) return;  // while it is read anew, nothing is known to be ours, and facts would be dropped
     w.drop_settled();
     for (std::uint32_t p = 0; p < w.parts.size(); ++p)
       if (w.acting(core::PartId{p})) edits.push_back(settle_part(w, core::PartId{p}));
