--- a/src/app/evictions.cpp
+++ b/src/app/evictions.cpp
@@ -80,12 +80,23 @@
 void Controller::make_room(core::PartId part, const sched::Plan& plan, std::vector<sched::Demand>& demands,
                            const RoundView& view, std::size_t machines, core::TimePoint now) {
   if (plan.unplaced.empty()) return;
-  const auto running = world_.with([&](World& w) { return running_in(w, part, view.within, now); });
+  auto running = world_.with([&](World& w) { return running_in(w, part, view.within, now); });
   const auto evictions = sched::preempt(plan.nodes, demands, plan.unplaced, running, plan.teams, view.claims);
   for (const auto& e : evictions) {
     start_eviction(e, demands[e.demand], running, now);
     demands[e.demand].has_reservation = true;
   }
+  // What this round places runs there too: without it a machine that is being filled seems never to come
+  // free.
+  for (const auto& p : plan.placements) {
+    const auto& d = demands[p.demand];
+    sched::Running r;
+    r.job = d.job;
+    r.machine = p.machine;
+    r.need = d.need;
+    r.left_s = d.expect_s;
+    running.push_back(r);
+  }
   // Nodes that were just reserved are kept from the gatherers too.
   auto nodes = plan.nodes;
   std::map<core::MachineId, core::JobId> taken;
--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -116,6 +116,47 @@
                             for (auto& [_, w] : c.workers) w.hanging = w.in_flight = false;
                           });
                         }},
+                    Day{"orders_reach_a_machine_no_more",
+                        [](Cluster& c) {
+                          c.at(14, [&c] {
+                            // Two machines with something to do; and they stay so.
+                            int n = 0;
+                            for (auto& [_, w] : c.workers)
+                              if (!w.tasks.empty() && n++ < 2) w.deaf = true;
+                          });
+                        }},
+                    Day{"copies_of_reports_come_late",
+                        [](Cluster& c) {
+                          c.faults.copy_report = 0.3;
+                          for (int i = 0; i < 4; ++i)
+                            c.at(12 + 9 * i,
+                                 [&c, i] { c.crash(static_cast<std::size_t>(i % 3), i % 2 ? 0.2 : 5); });
+                          c.at(20, [&c] {
+                            for (auto& [name, w] : c.workers)
+                              if (!w.tasks.empty()) {
+                                w.dead = true;
+                                c.cloud.hosts[name].dead = true;
+                                break;
+                              }
+                          });
+                          c.at(120, [&c] { c.faults = {}; });
+                        }},
+                    Day{"loses_state_and_members_but_not_workers",
+                        [](Cluster& c) {
+                          c.at(12, [&c] {
+                            c.cut.insert({0, "state"});
+                            c.cut.insert({0, "peers"});
+                          });
+                          c.at(60, [&c] { c.cut.clear(); });
+                        }},
+                    Day{"back_at_once_in_the_middle_of_an_election",
+                        [](Cluster& c) {
+                          c.at(12, [&c] { c.crash(0, 3.4); });
+                          for (int i = 0; i < 8; ++i)
+                            c.at(14.6 + 0.3 * i,
+                                 [&c, i] { c.crash(static_cast<std::size_t>(1 + i % 2), 0.1); });
+                          c.at(30, [&c] { c.crash(1, 0.1); });
+                        }},
                     Day{"messages_lost_and_late",
                         [](Cluster& c) {
                           c.faults = {0.02, 0.03, 0.03, 0.3};
--- a/tests/sched/preempt_test.cpp
+++ b/tests/sched/preempt_test.cpp
@@ -119,5 +119,108 @@
           .empty());
 }
 
+// A gang of two whole machines, while small tasks run on each and more of them wait all the time.
+struct GatherCase {
+  const char* name;
+  double waited_s;
+  std::size_t most;
+  std::size_t machines;
+};
+class Gather : public testing::TestWithParam<GatherCase> {};
+TEST_P(Gather, KeepsRoomForAGangThatWaits) {
+  const auto& c = GetParam();
+  auto d = demand(1, 2);
+  d.waited_s = c.waited_s;
+  auto small = running(1, 0, 1, 4), later = running(2, 1, 1, 4), last = running(3, 2, 1, 4);
+  small.left_s = 10, later.left_s = 20, last.left_s = 300;
+  const auto out = gather({full(0), full(1), full(2)}, {d}, {0}, {small, later, last},
+                          {TeamRoom{}, TeamRoom{}}, 10, c.most);
+  EXPECT_EQ(out.empty() ? 0 : out[0].machines.size(), c.machines);
+  if (!out.empty()) {
+    EXPECT_DOUBLE_EQ(out[0].in_s, 20) << "on the machines that are free first";
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, Gather,
+                         testing::Values(GatherCase{"not_yet", 5, 2, 0}, GatherCase{"long_enough", 30, 2, 2},
+                                         GatherCase{"the_oldest_may_even_in_a_small_part", 30, 1, 2}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+// Small jobs come without end and each takes what comes free: the gang begins only because room is kept for
+// it.
+TEST(Gather, LargestGangBeginsUnderAStreamOfSmallOnes) {
+  for (const bool kept : {true, false}) {
+    auto free_gpus = std::vector<double>{0, 0};  // of two machines, all taken by tasks of one accelerator
+    std::vector<std::vector<double>> ends{{1, 2, 3, 4}, {1.5, 2.5, 3.5, 4.5}};
+    core::JobId reserved[2];
+    bool began = false;
+    for (double t = 0; t < 60 && !began; t += 0.5) {
+      for (std::size_t m = 0; m < 2; ++m)
+        free_gpus[m] += static_cast<double>(std::erase_if(ends[m], [&](double e) { return e <= t; }));
+      std::vector<Node> nodes{full(0), full(1)};
+      std::vector<Running> busy;
+      for (std::uint32_t m = 0; m < 2; ++m) {
+        nodes[m].free = {free_gpus[m] * 8, free_gpus[m], free_gpus[m] * 64};
+        nodes[m].reserved_for = reserved[m];
+        for (const double e : ends[m]) {
+          auto r = running(1, m, 1, 1);
+          r.left_s = e - t;
+          busy.push_back(r);
+        }
+      }
+      auto gang_job = demand(1, 2);
+      gang_job.waited_s = t;
+      auto small = demand(1, 4);
+      small.job = JobId{5};
+      small.need = {8, 1, 64};
+      small.gang = false;
+      small.expect_s = 4;
+      Costs first, second;
+      first.weight = 2;
+      const auto plan = place(nodes, {small, gang_job}, {first, second}, {TeamRoom{}, TeamRoom{}});
+      for (const auto& p : plan.placements) {
+        began = began || p.demand == 1;
+        if (p.demand == 0) {
+          free_gpus[p.machine.v] -= 1;
+          ends[p.machine.v].push_back(t + 4);
+          auto r = running(1, p.machine.v, 1, 1);
+          r.left_s = 4;
+          busy.push_back(r);
+        }
+      }
+      if (!kept) continue;
+      for (const auto& g : gather(plan.nodes, {small, gang_job}, plan.unplaced, busy, plan.teams, 10, 1))
+        for (const auto m : g.machines) reserved[m.v] = gang_job.job;
+    }
+    EXPECT_EQ(began, kept);
+  }
+}
+
+struct ClaimCase {
+  const char* name;
+  bool demand_within;
+  int demand_priority;
+  bool victim_within;
+  int victim_priority;
+  std::size_t stopped;
+};
+class Claims : public testing::TestWithParam<ClaimCase> {};
+// One strict order: whoever is stopped for a job could never have that job stopped in turn.
+TEST_P(Claims, AreInOneStrictOrder) {
+  const auto& c = GetParam();
+  auto d = demand(c.demand_priority, 1, c.demand_within);
+  d.within = c.demand_within;
+  auto victim = running(1, 0, c.victim_priority, 4);
+  victim.within = c.victim_within;
+  const auto out = preempt({full(0)}, {d}, {0}, {victim}, {TeamRoom{}, TeamRoom{}}, {kIdle, uses(20, 8)});
+  EXPECT_EQ(out.empty() ? 0 : out[0].victims.size(), c.stopped);
+}
+INSTANTIATE_TEST_SUITE_P(Table, Claims,
+                         testing::Values(ClaimCase{"high_stops_idle", false, 2, false, 0, 1},
+                                         ClaimCase{"high_beyond_leaves_idle_within", false, 2, true, 0, 0},
+                                         ClaimCase{"idle_within_stops_high_beyond", true, 0, false, 2, 1},
+                                         ClaimCase{"high_within_stops_idle_within", true, 2, true, 0, 1},
+                                         ClaimCase{"idle_within_leaves_high_within", true, 0, true, 2, 0}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace finchrun::sched
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -288,6 +288,19 @@
     post(4, [done] { done(std::nullopt); });
     return;
   }
+  if (chance(faults.copy_report)) {
+    const double after = std::uniform_real_distribution<double>(0.5, faults.copy_after_s)(random);
+    post(after, [this, request] {
+      ask(
+          random() % nodes_.size(), request, [](std::optional<http::Response>) {}, 4);
+    });
+  }
+  if (w.deaf) {
+    ask(
+        w.node, std::move(request), [](std::optional<http::Response>) {}, 4);
+    post(4, [done] { done(std::nullopt); });
+    return;
+  }
   ask(w.node, std::move(request), std::move(done), 4);
 }
 
@@ -338,7 +351,7 @@
   if (to.host == "10.2.0.1") return state.handle(verb, target, body, now_);
   if (to.host == "10.2.0.2") return cloud.handle(verb, target, body, now_);
   for (auto& [_, w] : workers)
-    if (w.endpoint == to.text() && !w.dead && !w.hanging) return w.direct(body, jobs, now_);
+    if (w.endpoint == to.text() && !w.dead && !w.hanging && !w.deaf) return w.direct(body, jobs, now_);
   return {};
 }
 
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -16,6 +16,8 @@
   double lose_answer = 0;   // carried out, the answer lost
   double late_request = 0;  // the caller has given up by the time it is carried out
   double max_delay_s = 0.02;
+  double copy_report = 0;  // a copy of the report comes once more, to any controller, up to so much later
+  double copy_after_s = 40;
 };
 
 class Cluster {
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -83,6 +83,7 @@
   std::string name, endpoint, type, zone;
   bool spot = false;
   bool dead = false, hanging = false;
+  bool deaf = false;  // its reports arrive; answers and orders do not reach it
   std::uint64_t session = 1, seq = 0, token = 0;
   TimePoint last_answered{};  // when the last answered report was sent
   std::map<std::pair<std::string, std::uint32_t>, Task> tasks;
