--- a/tests/app/world_test.cpp
+++ b/tests/app/world_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace finchrun::app {
 namespace {
 
@@ -48,5 +50,41 @@
   EXPECT_FALSE(w.owns(core::PartId{0})) << "a claim of another process of the same label";
 }
 
+struct UsableCase {
+  const char* name;
+  std::function<void(worker::Machine&)> change;
+  bool usable;
+};
+class Usable : public testing::TestWithParam<UsableCase> {};
+TEST_P(Usable, OnlyWhileItsWorkerIsSeenToObey) {
+  World w(settings(), {});
+  w.mirror.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 40});
+  const core::TimePoint now(core::secs(100));
+  auto& m = w.fleet.intern(w.names, "host-1");
+  m.part = core::PartId{0};
+  m.reported = true;
+  m.token = 40;
+  m.last_report = now;
+  GetParam().change(m);
+  EXPECT_EQ(w.usable(m, now), GetParam().usable);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, Usable,
+    testing::Values(UsableCase{"obeys", [](auto&) {}, true},
+                    UsableCase{"under_an_older_token", [](auto& m) { m.token = 39; }, false},
+                    UsableCase{"orders_may_not_reach_it",
+                               [](auto& m) { m.doubt(core::TimePoint(core::secs(99))); }, false},
+                    UsableCase{"was_deleted", [](auto& m) { m.gone = true; }, false},
+                    UsableCase{"silent", [](auto& m) { m.last_report = {}; }, false},
+                    UsableCase{"about_to_be_taken", [](auto& m) { m.notice_s = 10; }, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(World, DeletedMachinesStayDeleted) {
+  World w(settings(), {});
+  w.fleet.deleted.insert(w.fleet.intern(w.names, "host-1").id);
+  EXPECT_TRUE(w.fleet.was_deleted(w.names, "host-1"));
+  EXPECT_FALSE(w.fleet.was_deleted(w.names, "host-2"));
+}
+
 }  // namespace
 }  // namespace finchrun::app
