Ends are recorded ahead of their shards, and writes have a pause between them

Cause: with thousands of tasks nearly every shard of a part holds one that has just ended, and each was rewritten for it; and each report of an end woke the writer, which wrote it by itself (4873 of 7300 changes in 200 s). Now ends go into one key, ends/<part>, and leave it only together with their shard; writes are at least 0.2 s apart. Debug shows every change's keys.

--- a/src/app/edits.hpp
+++ b/src/app/edits.hpp
@@ -29,11 +29,12 @@
 
   // Puts the entries where they fit. False, with nothing changed, if that would touch too many shards.
   bool add(core::JobId id, const std::vector<jobs::Entry>& entries);
-  // Removes the fact's entry and marks what is done. False if that would touch too many shards.
+  // Removes the fact's entry and marks what is done: in its shard if that is written anyway, else ahead of it
+  // among the part's ends. False if there is no room for it in this transaction.
   bool settle(const worker::Fact& f);
   // Done tasks of the job over all parts, with what this writer has marked.
   [[nodiscard]] std::uint32_t done(core::JobId id) const;
-  [[nodiscard]] std::size_t touched() const { return open_.size(); }
+  [[nodiscard]] std::size_t touched() const { return open_.size() + (ends_changed_ ? 1 : 0); }
   // Adds the shards' changes and the conditions that make a late or deposed writer's fail.
   void finish(Edit& e) const;
 
@@ -44,6 +45,8 @@
     std::map<core::JobId, jobs::RunRecord> jobs;
   };
   Open* open(const std::string& name);
+  // Puts it among the part's ends; rewrites the shard that they say most of when they have grown too long.
+  bool note_end(const std::string& shard, core::JobId id, const state::Ended& item);
   // The open or known shard with room for so much; a new one if there is none.
   Open* with_room(core::JobId id, std::size_t bytes);
 
@@ -51,6 +54,10 @@
   core::PartId part_;
   std::size_t most_shards_, most_bytes_;
   std::map<std::string, Open> open_;
+  std::map<std::string, std::map<core::JobId, std::vector<state::Ended>>>
+      ends_;  // of shards that aren't open
+  std::size_t ends_bytes_ = 0;
+  bool ends_changed_ = false;
   std::map<std::string, std::size_t> sizes_;  // of shards that were looked at for room
 };
 
--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -25,6 +25,13 @@
   return txn;
 }
 
+// For the log: which of the budget's changes went where.
+std::string keys_of(const std::vector<state::Event>& changes) {
+  std::string out;
+  for (const auto& c : changes) out += (out.empty() ? "" : ",") + c.key;
+  return out;
+}
+
 // A start order that got no answer for this long is made void by a new term; until then its task stays
 // booked.
 bool has_loose_orders(const World& w, core::PartId part, core::TimePoint now) {
@@ -171,6 +178,9 @@
   std::vector<state::Event> local;
   for (const auto& c : txn.then) local.push_back({c.key, c.value, 0});
   auto result = co_await store_.commit(std::move(txn));
+  if (spdlog::should_log(spdlog::level::debug))
+    spdlog::debug("commit outcome={} epoch={} changes={}", static_cast<int>(result.outcome), result.epoch,
+                  keys_of(local));
   if (result.outcome == state::Outcome::done) {
     world_.with([&](World& w) {
       for (auto& e : local) {
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -14,8 +14,13 @@
   boost::system::error_code ec;
   core::TimePoint next_usage{};
   constexpr double kLeastGap = 0.5;
+  // Each end woke this loop and was written by itself: with thousands of tasks that alone took half of the
+  // changes that all controllers may make.
+  constexpr double kLeastPause = 0.2;
   while (true) {
-    writer_wake_.expires_after(core::secs(tuning_.flush_s));
+    core::Timer pause(io_, core::secs(kLeastPause));
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    writer_wake_.expires_after(core::secs(std::max(0.0, tuning_.flush_s - kLeastPause)));
     co_await writer_wake_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     share_writes();
     const auto now = core::Steady::now();
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -17,8 +17,38 @@
   return {key.substr(0, slash), key.substr(slash + 1)};
 }
 
+Ended ended_from_json(const json::value& v) {
+  const auto& a = v.as_array();
+  Ended out{static_cast<std::uint32_t>(whole(a.at(0))), whole(a.at(1)), {0, 0}};
+  if (a.size() > 2)
+    out.done = {static_cast<std::uint32_t>(whole(a.at(2))), static_cast<std::uint32_t>(whole(a.at(3)))};
+  return out;
+}
+
 }  // namespace
 
+bool settle(jobs::RunRecord& run, const std::vector<Ended>& items) {
+  bool changed = false;
+  for (const auto& item : items) {
+    const auto gone = std::erase_if(
+        run.entries, [&](const jobs::Entry& e) { return e.task == item.task && e.attempt == item.attempt; });
+    // Told first as gone and then as done: it is done all the same.
+    const auto before = run.done.size();
+    run.done.add(item.done.first, item.done.second);
+    changed = changed || gone > 0 || run.done.size() != before;
+  }
+  return changed;
+}
+
+json::value to_json(const Ended& e) {
+  json::array a{e.task, e.attempt};
+  if (e.done.first < e.done.second) {
+    a.push_back(e.done.first);
+    a.push_back(e.done.second);
+  }
+  return a;
+}
+
 namespace keys {
 std::string job(const std::string& id) { return "jobs/" + id; }
 std::string shard(const std::string& part, const std::string& name) { return "runs/" + part + "/" + name; }
@@ -27,6 +57,7 @@
 std::string team(const std::string& team) { return "teams/" + team; }
 std::string usage(const std::string& part) { return "usage/" + part; }
 std::string fence(const std::string& part) { return "fence/" + part; }
+std::string ends(const std::string& part) { return "ends/" + part; }
 }  // namespace keys
 
 void Mirror::apply(const Event& e) {
@@ -61,6 +92,10 @@
       const auto part = names_.parts.find(part_name);
       if (!part) throw std::runtime_error("records of an unknown part");
       apply_shard(*part, std::string(name), e);
+    } else if (table == "ends") {
+      const auto part = names_.parts.find(rest);
+      if (!part) throw std::runtime_error("ends of an unknown part");
+      apply_ends(*part, e);
     } else if (table == "parts") {
       const auto part = names_.parts.find(rest);
       if (!part || gone) return;
@@ -109,7 +144,7 @@
     }
   } catch (const std::exception& x) {
     spdlog::error("state: record {} makes no sense: {}", e.key, x.what());
-    if (table == "runs") {
+    if (table == "runs" || table == "ends") {
       if (const auto part = names_.parts.find(split(rest).first)) unreadable_parts_.insert(*part);
     }
     if (table != "jobs") return;
@@ -140,6 +175,7 @@
   teams_.assign(teams_.size(), {});
   fences_.assign(fences_.size(), 0);
   usage_.assign(usage_.size(), {});
+  ends_.assign(ends_.size(), {});
   epoch_ = 0;
 }
 
@@ -167,8 +203,13 @@
   const auto before = std::move(shard.jobs);
   shard.jobs.clear();
   shard.stamp = e.value ? e.stamp : 0;
+  const auto& ends = ends_[part.v].shards;
+  const auto ended = ends.find(name);
   for (auto& [job, run] : next) {
     shard.jobs.push_back(job);
+    if (ended != ends.end())
+      if (const auto items = ended->second.find(job); items != ended->second.end())
+        settle(run, items->second);
     put_piece(job, id, std::move(run));
   }
   std::sort(shard.jobs.begin(), shard.jobs.end());
@@ -176,6 +217,31 @@
     if (!std::binary_search(shard.jobs.begin(), shard.jobs.end(), job)) put_piece(job, id, {});
 }
 
+void Mirror::apply_ends(core::PartId part, const Event& e) {
+  auto& at = ends_[part.v];
+  if (e.stamp <= at.stamp) return;
+  Ends next;
+  next.stamp = e.stamp;
+  if (e.value)
+    for (const auto& shard : e.value->as_object())
+      for (const auto& job : shard.value().as_object()) {
+        auto& items = next.shards[std::string(shard.key())][names_.jobs.intern(std::string_view(job.key()))];
+        for (const auto& item : job.value().as_array()) items.push_back(ended_from_json(item));
+      }
+  ++version_;
+  at = std::move(next);
+  for (const auto& [name, jobs] : at.shards) {
+    const auto shard = find_shard(part, name);
+    if (!shard) continue;  // its records follow in the same read
+    for (const auto& [job, items] : jobs) {
+      const auto* before = run(job, *shard);
+      if (!before) continue;
+      auto run = *before;
+      if (settle(run, items)) put_piece(job, *shard, std::move(run));
+    }
+  }
+}
+
 void Mirror::put_piece(core::JobId id, core::ShardId shard, jobs::RunRecord next) {
   auto& at = slot(id);
   const auto part = shards_[shard.v].part;
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -49,6 +49,22 @@
   core::ShardId shard;
   jobs::RunRecord run;
 };
+// Ends that are recorded ahead of the shard which still names the entry: one small key takes them all, where
+// rewriting every shard that an end touches spent the budget of changes. An item goes only in the transaction
+// that writes its shard without the entry, or the entry would be back.
+struct Ended {
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  jobs::Intervals::Span done{0, 0};  // tasks that are done by it; empty: none
+  bool operator==(const Ended&) const = default;
+};
+struct Ends {
+  std::uint64_t stamp = 0;
+  std::map<std::string, std::map<core::JobId, std::vector<Ended>>> shards;  // by the shard's name
+};
+// Takes the ended entries out of the record and marks what is done. False if it names none of them.
+bool settle(jobs::RunRecord& run, const std::vector<Ended>& items);
+json::value to_json(const Ended& e);
 // An entry of some run record, as found by its machine.
 struct Placed {
   core::JobId job;
@@ -64,12 +80,13 @@
 std::string team(const std::string& team);
 std::string usage(const std::string& part);
 std::string fence(const std::string& part);
+std::string ends(const std::string& part);
 }  // namespace keys
 
 class Mirror {
  public:
   Mirror(jobs::Names& names, std::size_t parts, std::size_t teams)
-      : names_(names), claims_(parts), teams_(teams), fences_(parts, 0), usage_(parts) {}
+      : names_(names), claims_(parts), teams_(teams), fences_(parts, 0), usage_(parts), ends_(parts) {}
 
   // Applies one change. Older ones than what is known are passed over, so repeats do no harm.
   void apply(const Event& e);
@@ -100,6 +117,8 @@
   [[nodiscard]] std::optional<core::ShardId> find_shard(core::PartId part, const std::string& name) const;
   // Shards of the part that are there.
   [[nodiscard]] std::vector<core::ShardId> shards(core::PartId part) const;
+  // Recorded ahead of the part's shards, which are shown here as if they had been written.
+  [[nodiscard]] const Ends& ends(core::PartId p) const { return ends_.at(p.v); }
   // What the shard holds of the job; nothing if it holds none of it.
   [[nodiscard]] const jobs::RunRecord* run(core::JobId id, core::ShardId shard) const;
   [[nodiscard]] bool has_entry(core::JobId id, core::PartId part, std::uint32_t task,
@@ -131,6 +150,7 @@
 
  private:
   void apply_shard(core::PartId part, const std::string& name, const Event& e);
+  void apply_ends(core::PartId part, const Event& e);
   // Replaces what the shard holds of the job.
   void put_piece(core::JobId id, core::ShardId shard, jobs::RunRecord next);
 
@@ -157,6 +177,7 @@
   std::vector<TeamRecord> teams_;
   std::vector<std::uint64_t> fences_;
   std::vector<UsageRecord> usage_;
+  std::vector<Ends> ends_;
   // Keys that we deleted before the changes told us so: an older value must not bring them back.
   std::unordered_map<std::string, std::uint64_t> deleted_;
 };
--- a/tests/app/edits_test.cpp
+++ b/tests/app/edits_test.cpp
@@ -155,6 +155,115 @@
             (std::map<std::string, std::uint64_t>{{"parts/a.0", 40}, {"fence/a.0", 44}, {"runs/a.0/0", 0}}));
 }
 
+// Ends that touch many shards: each was rewritten for them, which took most of the budget of changes.
+TEST(PartWriter, EndsAcrossAllShardsCostOneChange) {
+  Bed b;
+  std::vector<core::JobId> ids;
+  for (int i = 0; i < 40; ++i) {
+    ids.push_back(b.job("req-" + std::to_string(i), 100, false));
+    PartWriter writer(b.w, b.part);
+    ASSERT_TRUE(writer.add(ids.back(), b.entries(100, 9)));
+    Edit e;
+    writer.finish(e);
+    b.apply(e);
+  }
+  ASSERT_GT(b.w.mirror.shards(b.part).size(), 10u);
+  PartWriter writer(b.w, b.part);
+  for (const auto id : ids) EXPECT_TRUE(writer.settle({id, b.part, 7, 9, true}));
+  EXPECT_TRUE(writer.settle({ids[0], b.part, 8, 9, false}));  // told as gone, and as done after all
+  EXPECT_TRUE(writer.settle({ids[0], b.part, 8, 9, true}));
+  EXPECT_EQ(writer.done(ids[0]), 2u);
+  Edit e;
+  writer.finish(e);
+  ASSERT_EQ(e.then.size(), 1u);
+  EXPECT_EQ(e.then[0].key, "ends/a.0");
+  b.apply(e);
+  for (const auto id : ids) {
+    EXPECT_EQ(b.w.mirror.done(id), id == ids[0] ? 2u : 1u);
+    EXPECT_EQ(b.w.mirror.placed(id), id == ids[0] ? 98u : 99u);
+    EXPECT_FALSE(b.w.mirror.has_entry(id, b.part, 7, 9));
+  }
+}
+
+struct FoldCase {
+  const char* name;
+  bool shards_first;  // the order in which a reader sees the keys of one transaction
+};
+class Fold : public testing::TestWithParam<FoldCase> {};
+// An end is dropped only together with the shard that named its task; else the task would be back, and would
+// be started once more.
+TEST_P(Fold, NoEndedTaskComesBack) {
+  Bed b;
+  World reader(settings(), {});  // another controller, fed by the changes alone
+  const auto id = b.job("req-1", 300, false);
+  std::vector<state::Event> all{{"jobs/req-1", jobs::to_json(*b.w.mirror.job(id), b.w.names), b.stamp}};
+  const auto commit = [&](PartWriter& writer) {
+    Edit e;
+    writer.finish(e);
+    EXPECT_LE(largest_value(e), 8192u);
+    b.apply(e);
+    if (!GetParam().shards_first) std::reverse(e.then.begin(), e.then.end());
+    for (const auto& c : e.then) all.push_back({c.key, c.value, b.stamp});
+  };
+  {
+    PartWriter writer(b.w, b.part);
+    ASSERT_TRUE(writer.add(id, b.entries(300, 9)));
+    commit(writer);
+  }
+  // Many small writes, so that the ends outgrow their key and are folded into shards, some while new work is
+  // placed in them.
+  const auto other = b.job("req-2", 300, false);
+  all.push_back({"jobs/req-2", jobs::to_json(*b.w.mirror.job(other), b.w.names), b.stamp});
+  for (std::uint32_t t = 0; t < 300; t += 3) {
+    PartWriter writer(b.w, b.part);
+    for (std::uint32_t i = t; i < t + 3; ++i) EXPECT_TRUE(writer.settle({id, b.part, i, 9, i % 2 == 0}));
+    if (t % 30 == 0) {
+      auto entry = b.entries(t + 1, 20 + t);
+      ASSERT_TRUE(writer.add(other, {entry.back()}));
+    }
+    commit(writer);
+    for (std::uint32_t i = 0; i < 300; ++i)
+      ASSERT_EQ(b.w.mirror.has_entry(id, b.part, i, 9), i >= t + 3) << "task " << i << " after " << t;
+  }
+  EXPECT_EQ(b.w.mirror.done(id), 150u);
+  EXPECT_EQ(b.w.mirror.placed(other), 10u);
+  for (const auto& e : all) reader.mirror.apply(e);
+  const auto there = *reader.names.jobs.find("req-1");
+  EXPECT_EQ(reader.mirror.done(there), 150u);
+  EXPECT_EQ(reader.mirror.placed(there), 0u);
+  EXPECT_EQ(reader.mirror.placed(*reader.names.jobs.find("req-2")), 10u);
+}
+INSTANTIATE_TEST_SUITE_P(Table, Fold,
+                         testing::Values(FoldCase{"shards_before_ends", true},
+                                         FoldCase{"ends_before_shards", false}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+// A late write of the ends must not undo a later one.
+TEST(PartWriter, EndsAreConditionalOnThemselves) {
+  Bed b;
+  const auto id = b.job("req-1", 4, false);
+  {
+    PartWriter writer(b.w, b.part);
+    writer.add(id, b.entries(4, 9));
+    Edit e;
+    writer.finish(e);
+    b.apply(e);
+  }
+  std::uint64_t seen = 0;
+  for (std::uint32_t t = 0; t < 2; ++t) {
+    PartWriter writer(b.w, b.part);
+    writer.settle({id, b.part, t, 9, true});
+    Edit e;
+    writer.finish(e);
+    const auto it =
+        std::find_if(e.when.begin(), e.when.end(), [](const auto& c) { return c.key == "ends/a.0"; });
+    ASSERT_NE(it, e.when.end());
+    EXPECT_EQ(it->stamp, seen);
+    b.apply(e);
+    seen = b.stamp;
+  }
+}
+
 // A scale case: what a report and a round's choice of room look at follows the machine, not the fleet.
 TEST(Scale, AMachineIsFoundAmongThousands) {
   Bed b;
