--- a/src/app/rounds.cpp
+++ b/src/app/rounds.cpp
@@ -215,9 +215,11 @@
     e.require(state::keys::team(w.names.teams.name(job->spec.team)), w.mirror.team(job->spec.team).stamp);
     for (const auto& entry : entries) {
       e.starts[entry.machine].push_back({p.job, entry.task, attempt});
-      e.log.push_back(fmt::format("place job={} task={} try={} machine={} part={} term={} weight={:.3f}",
-                                  job_name, entry.task, attempt, w.names.machines.name(entry.machine),
-                                  part_name, w.token(part), p.weight));
+      const auto* m = w.fleet.find(entry.machine);
+      e.log.push_back(fmt::format(
+          "place job={} task={} try={} machine={} part={} term={} weight={:.3f} image={} cached={}", job_name,
+          entry.task, attempt, w.names.machines.name(entry.machine), part_name, w.token(part), p.weight,
+          w.names.images.name(job->spec.image), m && m->holds(job->spec.image)));
     }
   }
   if (writer.touched() > 0) writer.finish(e);
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -1,6 +1,7 @@
 // What this controller knows of the machines: from the cloud's list, from reports, from its own orders.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -58,6 +59,10 @@
   // Images it should hold, least recently used first.
   std::vector<std::pair<core::ImageId, double>> images;
 
+  [[nodiscard]] bool holds(core::ImageId image) const {
+    return std::any_of(images.begin(), images.end(), [&](const auto& i) { return i.first == image; });
+  }
+
   // Faults: jobs whose tasks failed here since the last task that ended well.
   std::set<core::JobId> failed_jobs;
   core::TimePoint avoid_until{};
