--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -50,6 +50,7 @@
   for (const std::uint32_t seed : {7u, 8u}) {
     Cluster c(seed);
     load(c, 12, 30);
+    c.troubles_over = core::Steady::now() + core::secs(120);
     GetParam().trouble(c);
     c.run(220);
     expect_rules(c);
@@ -116,6 +117,46 @@
                             for (auto& [_, w] : c.workers) w.hanging = w.in_flight = false;
                           });
                         }},
+                    Day{"stands_still_past_its_hold_and_goes_on",
+                        [](Cluster& c) {
+                          // Whatever it had decided before is void: others own its parts by then.
+                          c.at(13, [&c] { c.frozen.insert(0); });
+                          c.at(13 + 12, [&c] { c.frozen.clear(); });
+                          c.at(34, [&c] { c.frozen.insert(1); });
+                          c.at(34 + 3.3, [&c] { c.frozen.clear(); });
+                        }},
+                    Day{"all_crash_in_a_state_outage",
+                        [](Cluster& c) {
+                          c.at(14, [&c] { c.state.outage = true; });
+                          for (std::size_t n = 0; n < 3; ++n)
+                            c.at(20, [&c, n] { c.crash(n, n == 0 ? 0.2 : 3); });
+                          c.at(29, [&c] { c.state.recover(core::Steady::now()); });
+                        }},
+                    Day{"half_of_all_machines_hang_past_their_lease_with_late_copies",
+                        [](Cluster& c) {
+                          c.faults.copy_report = 0.3;
+                          c.at(14, [&c] {
+                            int n = 0;
+                            for (auto& [_, w] : c.workers) w.hanging = n++ % 2 == 0;
+                          });
+                          c.at(30, [&c] {
+                            for (auto& [_, w] : c.workers) w.hanging = w.in_flight = false;
+                          });
+                          c.at(80, [&c] { c.faults = {}; });
+                        }},
+                    Day{"zone_cut_from_all_while_a_controller_elsewhere_crashes",
+                        [](Cluster& c) {
+                          // Controllers 0 and 2 stand in zone a; their machines are cut off with them.
+                          c.at(13, [&c] {
+                            for (const std::size_t n : {0, 2})
+                              for (const char* what : {"state", "cloud", "zone b"}) c.cut.insert({n, what});
+                            c.cut.insert({1, "zone a"});
+                            c.cut.insert({1, "peers"});
+                          });
+                          c.at(18, [&c] { c.crash(1, 0.2); });
+                          c.at(21.4, [&c] { c.crash(1, 0.1); });
+                          c.at(45, [&c] { c.cut.clear(); });
+                        }},
                     Day{"orders_reach_a_machine_no_more",
                         [](Cluster& c) {
                           c.at(14, [&c] {
@@ -175,6 +216,16 @@
                         }}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// The check itself: while nobody can prove anything, no question is answered, and that is seen.
+TEST(Cluster, AJobNobodyAnswersForIsSeenAsForgotten) {
+  Cluster c(3);
+  load(c, 3, 5);
+  c.at(12, [&c] { c.state.outage = true; });
+  c.run(12 + 85);
+  ASSERT_FALSE(c.broken.empty());
+  EXPECT_EQ(c.broken.front().substr(0, 10), "forgotten ");
+}
+
 // Overlapping troubles drawn at random: nothing may break, whatever happens; finishing is not asked.
 class RandomDay : public testing::TestWithParam<std::uint32_t> {};
 TEST_P(RandomDay, KeepsTheRules) {
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -172,8 +172,9 @@
     events_.erase(events_.begin());
     what();
   }
-  for (auto& n : nodes_) {
-    if (!n) continue;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const auto& n = nodes_[i];
+    if (!n || frozen.contains(i)) continue;
     for (int quiet = 0; quiet < 2;) quiet = n->io.poll() > 0 ? 0 : quiet + 1;
   }
   for (const auto& [name, host] : cloud.hosts) {
@@ -384,6 +385,7 @@
         auto& job = jobs[id];
         if (r && (r->status == 201 || r->status == 200)) {
           job.accepted = true;
+          job.answered = now_;
           poll(id);
           return;
         }
@@ -403,6 +405,7 @@
         auto& job = jobs[id];
         if (r && r->status == 404) broken.push_back("forgotten " + id);
         if (r && r->status == 200) {
+          job.answered = now_;
           const auto status = std::string(json::parse(r->body).at("status").as_string());
           if (status == "done" && job.done.size() < job.tasks) broken.push_back("not_done " + id);
           if (job.told_done && status != "done") broken.push_back("went_back " + id + " to " + status);
@@ -447,6 +450,11 @@
         broken.push_back("ran_cancelled " + key.first);
     }
   }
+  constexpr double kLongestSilence = 75;
+  for (const auto& [id, job] : jobs)
+    if (job.accepted && !job.asked_cancel &&
+        core::since(std::max(job.answered, troubles_over), now_) > kLongestSilence)
+      broken.push_back("forgotten " + id + ": no question about it is answered");
   for (const auto& team : settings_.teams)
     if (used[team.name] > team.gpus_max + 1e-9) broken.push_back("quota " + team.name);
 }
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -42,7 +42,10 @@
   std::map<std::string, JobTruth> jobs;
   std::map<std::string, Worker> workers;
   std::set<std::pair<std::size_t, std::string>>
-      cut;  // node can't reach (and isn't reached by) "state", "cloud", "peers", zone
+      cut;                       // node can't reach (and isn't reached by) "state", "cloud", "peers", zone
+  std::set<std::size_t> frozen;  // stand still while their clocks and the world go on
+  // From then on every accepted job that is not cancelled must be answered about: see `check`.
+  TimePoint troubles_over{};
   std::size_t starts = 0;
   std::mt19937 random;
 
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -75,6 +75,7 @@
   double gpus = 0;
   std::set<std::uint32_t> done;
   bool accepted = false, told_done = false, asked_cancel = false;
+  TimePoint answered{};  // when a question about it was last answered with 200
   std::optional<TimePoint> told_cancelled;
 };
 
