Spot machines are rented for arrays when gangs wait for ordinary ones that have run out

Cause: nile-flow may not use spot machines; all 1156 ordinary ones are rented and hold arrays and winter-surge, while 250 spot machines stay unrented, since nothing that may use them waits.

--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -173,13 +173,38 @@
     core::Resources free;
   };
   std::vector<Coming> coming;
+  // Room on spot machines, coming or there already, by part: see `relief` below.
+  std::vector<Coming> spare_spot;
   for (const auto& [id, m] : w.fleet.all()) {
     if (!m.part.valid() || !w.acting(m.part) || m.releasing || m.sick || m.gone) continue;
     const auto* flavor = w.fleet.flavor(m.type);
-    if (!flavor || m.reported) continue;
+    if (!flavor) continue;
+    if (m.reported) {
+      if (!m.spot) continue;
+      auto free = flavor->size;
+      free -= w.used_on(id);
+      spare_spot.push_back({m.part, m.type, true, free});
+      continue;
+    }
     if (core::since(m.first_seen, now) > 4 * flavor->boot_s) continue;
     coming.push_back({m.part, m.type, m.spot, flavor->size});
+    if (m.spot) spare_spot.push_back(coming.back());
   }
+  const bool others_use_spot = std::any_of(w.lanes.begin(), w.lanes.end(),
+                                           [](const sched::LaneProfile& l) { return l.spot && l.tasks >= 1; });
+  // Some kind of ordinary machine that the job may use was not refused lately.
+  const auto ordinary_left = [&](const sched::Demand& d, const std::string& zone) {
+    for (std::size_t f = 0; f < w.fleet.flavors.size(); ++f) {
+      const auto& flavor = w.fleet.flavors[f];
+      if (d.types && std::find(d.types->begin(), d.types->end(), w.fleet.flavor_ids[f]) == d.types->end())
+        continue;
+      if (std::find(flavor.zones.begin(), flavor.zones.end(), zone) == flavor.zones.end()) continue;
+      if (!d.need.fits(flavor.size)) continue;
+      const auto refused = no_capacity_until_.find(flavor.name + "|" + zone + "|own");
+      if (refused == no_capacity_until_.end() || refused->second <= now) return true;
+    }
+    return false;
+  };
   for (std::size_t i = 0; i < backlog_.size(); ++i) {
     const auto& d = backlog_[i];
     const auto part = backlog_part_[i];
@@ -201,6 +226,17 @@
     const Wish* best = nullptr;
     double best_price = 0;
     int best_each = 1;
+    // Where ordinary machines have run out, work that may use spot machines is given some, so that it leaves
+    // the ordinary ones to this job; what is spare already is counted first.
+    const bool relief = !d.spot && left > 0 && others_use_spot && !ordinary_left(d, zone_name);
+    for (auto m = spare_spot.begin(); relief && left > 0 && m != spare_spot.end();) {
+      if (m->part == part && d.need.fits(m->free)) {
+        m->free -= d.need;
+        --left;
+      } else {
+        ++m;
+      }
+    }
     for (std::size_t f = 0; left > 0 && team.allows(d.need) && f < w.fleet.flavors.size(); ++f) {
       const auto& flavor = w.fleet.flavors[f];
       const auto type = w.fleet.flavor_ids[f];
@@ -209,7 +245,7 @@
       const int each = d.need.times_in(flavor.size);
       if (each < 1) continue;
       for (const bool spot : {false, true}) {
-        if (spot && !d.spot) continue;
+        if (spot && !d.spot && !relief) continue;
         const auto slot = flavor.name + "|" + zone_name + (spot ? "|spot" : "|own");
         if (auto it = no_capacity_until_.find(slot); it != no_capacity_until_.end() && it->second > now)
           continue;
