--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -23,9 +23,7 @@
     }
     if (now >= next_hire) {
       next_hire = now + jitter(1.0);
-      constexpr int kMostRequests = 3;  // of different kinds, as far as the budget lasts
-      for (int i = 0; i < kMostRequests; ++i)
-        if (!co_await hire()) break;
+      co_await hire();
     }
     co_await sleep(0.25);
   }
@@ -192,8 +190,8 @@
     coming.push_back({m.part, m.type, m.spot, flavor->size});
     if (m.spot) spare_spot.push_back(coming.back());
   }
-  const bool others_use_spot = std::any_of(
-      w.lanes.begin(), w.lanes.end(), [](const sched::LaneProfile& l) { return l.spot && l.tasks >= 1; });
+  const bool others_use_spot = std::any_of(w.lanes.begin(), w.lanes.end(),
+                                           [](const sched::LaneProfile& l) { return l.spot && l.tasks >= 1; });
   // Some kind of ordinary machine that the job may use was not refused lately.
   const auto ordinary_left = [&](const sched::Demand& d, const std::string& zone) {
     for (std::size_t f = 0; f < w.fleet.flavors.size(); ++f) {
@@ -270,8 +268,7 @@
   return out;
 }
 
-// False if there is nothing more to ask for now.
-asio::awaitable<bool> Controller::hire() {
+asio::awaitable<void> Controller::hire() {
   constexpr int kMostAtOnce = 50;  // the cloud's limit
   std::optional<Wish> wish;
   int count = 0;
@@ -281,21 +278,14 @@
     if (w.fleet.flavors.empty()) return;
     auto wishes = wanted_machines(w, now);
     if (wishes.empty()) return;
-    std::size_t mine = 0;
-    for (const auto& [_, m] : w.fleet.all()) mine += m.part.valid() && w.acting(m.part) ? 1 : 0;
     wish = std::move(wishes.front());
     // Work that ends in the meantime frees room too: a large need is met by halves.
     const int need = static_cast<int>(std::ceil(wish->machines));
-    // A fleet of a thousand that grew by a handful at a time took a minute for what it lacked.
-    const int batch = std::max(w.t.hire_batch, static_cast<int>(mine / 40));
-    count = std::min(kMostAtOnce, std::max(std::min(batch, need), need / 2));
+    count = std::min(kMostAtOnce, std::max(std::min(w.t.hire_batch, need), need / 2));
     request = fmt::format("{}-{}-{}", w.s.label, w.incarnation, ++hire_count_);
   });
-  if (!wish) co_return false;
+  if (!wish) co_return;
   const auto answer = co_await cloud_.hire(request, wish->type, wish->zone, wish->spot, count);
-  // Not asked: over the budget, ours or the cloud's. Taken for a refusal, it kept this kind from being asked
-  // for while the backlog grew.
-  if (answer.kind == cloud::Hired::Kind::later) co_return false;
   spdlog::info("hire type={} zone={} spot={} wanted={} got={} request={}", wish->type, wish->zone, wish->spot,
                count, answer.machines.size(), request);
   if (answer.kind == cloud::Hired::Kind::no_capacity) {
@@ -318,7 +308,6 @@
     if (answer.machines.size() < static_cast<std::size_t>(count))
       no_capacity_until_[wish->slot] = now + jitter(15);
   }
-  co_return true;
 }
 
 }  // namespace finchrun::app
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -121,7 +121,7 @@
   asio::awaitable<void> return_machines();
   struct Wish;
   std::vector<Wish> wanted_machines(World& w, core::TimePoint now);
-  asio::awaitable<bool> hire();
+  asio::awaitable<void> hire();
 
   // The other controllers.
   class Detour;
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -121,10 +121,6 @@
   http::Answer answer =
       co_await call(http::Verb::post, "/hosts", hire_body(request, type, zone, spot, count));
   Hired out;
-  if (answer.status == 429) {
-    out.kind = Hired::Kind::later;
-    co_return out;
-  }
   if (answer.status == 503 && answer.body.find("no capacity") != std::string::npos) {
     out.kind = Hired::Kind::no_capacity;
     co_return out;
--- a/src/cloud/cloud.hpp
+++ b/src/cloud/cloud.hpp
@@ -28,7 +28,7 @@
   double held_s = 0;
 };
 struct Hired {
-  enum class Kind { ok, no_capacity, later, failed } kind = Kind::failed;
+  enum class Kind { ok, no_capacity, failed } kind = Kind::failed;
   std::vector<std::string> machines;
 };
 
