--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -216,6 +216,26 @@
                         }}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Arrays that may use spot machines hold all ordinary ones and nothing of them waits; a gang that may not use
+// spot machines does. Nobody rented any, and the gang waited for arrays that came one after the other.
+TEST(Cluster, SpotMachinesAreRentedWhenAGangWaitsForOrdinaryOnes) {
+  Cluster c(5, 3, 1);
+  c.cloud.capacity = 1;
+  c.cloud.spot_capacity = 2;
+  for (int i = 0; i < 2; ++i) c.at(8, [&c] { c.submit(4, false, 1, 60, "blue", "normal", true); });
+  c.at(16, [&c] { c.submit(1, true, 4, 5, "red", "normal"); });
+  c.run(16);
+  const auto spot = [&c] {
+    return std::count_if(c.cloud.hosts.begin(), c.cloud.hosts.end(),
+                         [](const auto& h) { return h.second.spot; });
+  };
+  EXPECT_EQ(spot(), 0) << "nothing waits yet";
+  c.run(20);
+  EXPECT_GT(spot(), 0);
+  EXPECT_LE(spot(), 2) << "no more than the gang's tasks need";
+  expect_rules(c);
+}
+
 // The check itself: while nobody can prove anything, no question is answered, and that is seen.
 TEST(Cluster, AJobNobodyAnswersForIsSeenAsForgotten) {
   Cluster c(3);
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -357,7 +357,7 @@
 }
 
 void Cluster::submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
-                     const std::string& priority) {
+                     const std::string& priority, bool spot) {
   char id[24];
   std::snprintf(id, sizeof id, "req-%06d", next_job_++);
   JobTruth truth;
@@ -366,12 +366,15 @@
   truth.run_s = run_s;
   truth.team = team;
   truth.gpus = gpus;
-  truth.spec = {
-      {"nameId", id},        {"lane", "work"},   {"crew", team},     {"shape", gang ? "ensemble" : "array"},
-      {"urgency", priority}, {"pieces", tasks},  {"vcpus", gpus},    {"gpus", gpus},
-      {"ramGb", gpus},       {"plate", "img"},   {"imageGb", 1.0},   {"together", gang},
-      {"scatter", false},    {"loaners", false}, {"expectS", run_s}, {"snapshotS", 5.0},
-      {"flushS", 1.0}};
+  truth.spec = {{"nameId", id},        {"lane", spot ? "sweep" : "work"},
+                {"crew", team},        {"shape", gang ? "ensemble" : "array"},
+                {"urgency", priority}, {"pieces", tasks},
+                {"vcpus", gpus},       {"gpus", gpus},
+                {"ramGb", gpus},       {"plate", "img"},
+                {"imageGb", 1.0},      {"together", gang},
+                {"scatter", false},    {"loaners", spot},
+                {"expectS", run_s},    {"snapshotS", 5.0},
+                {"flushS", 1.0}};
   jobs[id] = truth;
   user(id, 0);
 }
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -31,7 +31,7 @@
   void at(double seconds_from_now, std::function<void()> what);
   void crash(std::size_t node, double back_s);
   void submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
-              const std::string& priority);
+              const std::string& priority, bool spot = false);
   void cancel(const std::string& id);
 
   // Every broken rule, in words.
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -234,11 +234,14 @@
     const auto o = json::parse(body).as_object();
     auto& names = answered_[std::string(o.at("hire").as_string())];
     const std::string zone(o.at("hall").as_string());
-    const auto in_zone =
-        std::count_if(hosts.begin(), hosts.end(), [&](const auto& h) { return h.second.zone == zone; });
+    const bool spot = o.at("loaners").as_bool();
+    const auto in_zone = std::count_if(hosts.begin(), hosts.end(), [&](const auto& h) {
+      return h.second.zone == zone && h.second.spot == spot;
+    });
     if (names.empty()) {
-      if (in_zone >= capacity || o.at("loaners").as_bool()) return {503, R"({"error":"no capacity"})"};
+      if (in_zone >= (spot ? spot_capacity : capacity)) return {503, R"({"error":"no capacity"})"};
       names.push_back(add(zone, now, 5));
+      hosts[names.back()].spot = spot;
     }
     json::array out;
     for (const auto& n : names) out.emplace_back(n);
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -112,7 +112,8 @@
   std::map<std::string, Host> hosts;
   std::function<void(const std::string&)> on_release;
   bool outage = false;
-  int capacity = 4;  // per zone
+  int capacity = 4;       // per zone
+  int spot_capacity = 0;  // the same, of spot machines
   std::string add(const std::string& zone, TimePoint now, double boot_s);
 
  private:
