--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -190,8 +190,8 @@
     coming.push_back({m.part, m.type, m.spot, flavor->size});
     if (m.spot) spare_spot.push_back(coming.back());
   }
-  const bool others_use_spot = std::any_of(w.lanes.begin(), w.lanes.end(),
-                                           [](const sched::LaneProfile& l) { return l.spot && l.tasks >= 1; });
+  const bool others_use_spot = std::any_of(
+      w.lanes.begin(), w.lanes.end(), [](const sched::LaneProfile& l) { return l.spot && l.tasks >= 1; });
   // Some kind of ordinary machine that the job may use was not refused lately.
   const auto ordinary_left = [&](const sched::Demand& d, const std::string& zone) {
     for (std::size_t f = 0; f < w.fleet.flavors.size(); ++f) {
