A worker that only answers orders counts as silent; silent machines in use are asked directly

Now only the worker's own reports make it usable; a new owner has those that answered it until their first report is due. A machine silent past its lease is asked directly, since its next session proves its tasks gone sooner than its deletion. Those who don't know our token are asked first, then whoever was asked longest ago.

--- a/src/app/membership_loops.cpp
+++ b/src/app/membership_loops.cpp
@@ -382,19 +382,26 @@
   while (true) {
     co_await sleep(0.3);
     const auto now = core::Steady::now();
-    std::vector<core::MachineId> behind;
+    constexpr std::size_t kMostAtOnce = 16;
+    // Those who don't know our token come first, then whoever was asked longest ago.
+    std::vector<std::tuple<bool, core::TimePoint, core::MachineId>> behind;
     world_.with([&](World& w) {
       for (auto& [id, m] : w.fleet.all()) {
         if (!m.part.valid() || !w.acting(m.part) || m.endpoint.empty() || m.releasing || m.gone) continue;
-        if (m.reported && m.token >= w.token(m.part) && !m.deaf()) continue;
+        // Silent past its lease, it may only be unable to reach us: its next session, seen in an answer,
+        // proves its tasks gone.
+        const bool silent = w.silent_s(m, now) > w.s.lease_s && !w.mirror.on_machine(id).empty();
+        const bool obeys = m.reported && m.token >= w.token(m.part);
+        if (obeys && !m.deaf() && !silent) continue;
         if (!m.reported && m.status == "starting") continue;
-        if (core::since(m.last_push, now) < 2.5) continue;
-        m.last_push = now;
-        behind.push_back(id);
-        if (behind.size() >= 16) break;
+        if (core::since(m.last_push, now) < (obeys ? 5 : 2.5)) continue;
+        behind.emplace_back(obeys, m.last_push, id);
       }
+      std::sort(behind.begin(), behind.end());
+      if (behind.size() > kMostAtOnce) behind.resize(kMostAtOnce);
+      for (const auto& [_, at, id] : behind) w.fleet.find(id)->last_push = now;
     });
-    for (const auto id : behind) asio::co_spawn(io_, push(id), asio::detached);
+    for (const auto& [_, at, id] : behind) asio::co_spawn(io_, push(id), asio::detached);
   }
 }
 
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -144,7 +144,9 @@
 
 bool World::usable(const worker::Machine& m, core::TimePoint now) const {
   return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing && !m.gone &&
-         !m.deaf() && m.strangers == 0 && core::since(m.last_report, now) < 2.5 * s.report_s + 1.0;
+         !m.deaf() && m.strangers == 0 &&
+         // A new owner has its answers to the new token before the worker comes by itself.
+         core::since(std::max(m.last_report, acting_since.at(m.part.v)), now) < 2.5 * s.report_s + 1.0;
 }
 
 }  // namespace finchrun::app
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -39,7 +39,7 @@
   // Reports, newest only.
   bool reported = false;
   std::uint64_t session = 0, seq = 0, token = 0;
-  core::TimePoint last_report{};
+  core::TimePoint last_report{};  // that its worker sent by itself
   core::TimePoint last_push{};
   core::TimePoint sent_away{};  // when we last told its worker to report to the owner
   std::optional<double> notice_s;
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -100,7 +100,9 @@
   m.session = r.session;
   m.seq = r.seq;
   m.token = r.token;
-  m.last_report = ctx.now;
+  // An answer to an order of ours does not say that its worker reaches us: one that can't loses its lease,
+  // and with it whatever is placed there.
+  if (!ctx.direct) m.last_report = ctx.now;
   m.endpoint = r.endpoint;
   m.notice_s = r.notice_s;
   // Only a report sent after the worker saw our token proves that no order of an earlier owner can still run.
--- a/tests/app/world_test.cpp
+++ b/tests/app/world_test.cpp
@@ -79,6 +79,18 @@
                     UsableCase{"about_to_be_taken", [](auto& m) { m.notice_s = 10; }, false}),
     [](const auto& info) { return std::string(info.param.name); });
 
+TEST(World, NewOwnerUsesWhatHasAnsweredItUntilItIsMissed) {
+  World w(settings(), {});
+  w.mirror.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 40});
+  w.acting_since[0] = core::TimePoint(core::secs(100));
+  auto& m = w.fleet.intern(w.names, "host-1");
+  m.part = core::PartId{0};
+  m.reported = true;
+  m.token = 40;
+  EXPECT_TRUE(w.usable(m, core::TimePoint(core::secs(108))));
+  EXPECT_FALSE(w.usable(m, core::TimePoint(core::secs(109)))) << "its worker has not come by itself";
+}
+
 TEST(World, DeletedMachinesStayDeleted) {
   World w(settings(), {});
   w.fleet.deleted.insert(w.fleet.intern(w.names, "host-1").id);
--- a/tests/worker/reports_test.cpp
+++ b/tests/worker/reports_test.cpp
@@ -141,6 +141,22 @@
   EXPECT_TRUE(bed.fleet.facts.empty());
 }
 
+// A worker that can't open connections still answers orders; nothing may be placed there.
+TEST(Reports, AnAnswerToAnOrderIsNoSignThatTheWorkerReachesUs) {
+  Bed bed;
+  wire::Report r;
+  r.machine = "m";
+  r.session = 2;
+  r.seq = 1;
+  r.token = 50;
+  const auto before = bed.machine->last_report;
+  take_report({bed.names, bed.mirror, bed.fleet, bed.trouble, 50, bed.now, 10, true, true}, *bed.machine, r);
+  EXPECT_TRUE(bed.machine->reported);
+  EXPECT_EQ(bed.machine->last_report, before);
+  bed.report(2, 2, 50, {});
+  EXPECT_EQ(bed.machine->last_report, bed.now);
+}
+
 // The worker's answer to a direct order overtakes the answer to its report, in which starts may be.
 TEST(Reports, AnswersToDirectOrdersProveNoAbsence) {
   Bed bed;
