Controllers tell each other all cancellations; leases live through long outages

Changed: each ping asks for the cancellations after the epoch that the asker has read; the answer says whether it is complete. A controller tells users only what stands in its own copy, so once all others have answered completely, every cancellation told before is known, and the bound on old news counts from the oldest of these answers. One that is cut off, or was restarted and has not read the store yet, makes it fall back to the newest own read.

Frames are version 2.

--- a/src/app/peer_loop.cpp
+++ b/src/app/peer_loop.cpp
@@ -16,7 +16,29 @@
 
 // Frames are made outside the coroutines: GCC 12 destroys aggregates twice that are temporaries of a
 // co_await.
-std::string ping_frame(const std::string& label, double age) { return peer::encode(peer::Ping{label, age}); }
+std::string ping_frame(const std::string& label, std::uint64_t epoch) {
+  return peer::encode(peer::Ping{label, epoch});
+}
+peer::Cancelled cancelled_record(const World& w, core::JobId id) {
+  const auto* job = w.mirror.job(id);
+  return {w.names.jobs.name(id), boost::json::serialize(jobs::to_json(*job, w.names)), job->stamp};
+}
+// A change like any other that the next read would show: taken in ahead of it, as our own commits are.
+void take_cancelled(World& w, const peer::Cancelled& c) {
+  boost::system::error_code ec;
+  auto record = boost::json::parse(c.record, ec);
+  if (!ec) w.mirror.apply({state::keys::job(c.job), std::move(record), c.stamp});
+}
+std::string pong_frame(const World& w, std::uint64_t epoch) {
+  peer::Pong pong;
+  pong.news_age_s = core::since(w.synced_at, core::Steady::now());
+  const auto cancelled = w.mirror.cancelled_after(epoch);
+  // While it is read anew, our copy may lack what we have told.
+  pong.complete = w.loaded && cancelled.has_value();
+  for (const auto id : cancelled.value_or(std::vector<core::JobId>{}))
+    pong.cancelled.push_back(cancelled_record(w, id));
+  return peer::encode(pong);
+}
 std::string reply_frame(int status, const std::string& body) {
   return peer::encode(peer::Reply{status, body});
 }
@@ -24,9 +46,6 @@
 std::string call_frame(bool post, const std::string& target, const std::string& body) {
   return peer::encode(peer::StateCall{post, target, body});
 }
-std::string cancelled_frame(const std::string& job, const std::string& record, std::uint64_t stamp) {
-  return peer::encode(peer::Cancelled{job, record, stamp});
-}
 http::Answer read_reply(const std::optional<std::string>& frame) {
   const auto message = frame ? peer::decode(*frame) : std::nullopt;
   const auto* reply = message ? std::get_if<peer::Reply>(&*message) : nullptr;
@@ -67,13 +86,17 @@
 
 asio::awaitable<void> Controller::ping(std::size_t member) {
   const auto sent = core::Steady::now();
-  const double age = world_.with([&](World& w) { return core::since(w.synced_at, sent); });
-  std::string request = ping_frame(settings_.label, age);
+  const auto epoch = world_.with([](World& w) { return w.mirror.epoch(); });
+  std::string request = ping_frame(settings_.label, epoch);
   const auto frame = co_await links_[member]->call(std::move(request), std::chrono::milliseconds(1500));
   const auto message = frame ? peer::decode(*frame) : std::nullopt;
-  if (const auto* pong = message ? std::get_if<peer::Ping>(&*message) : nullptr) {
+  if (const auto* pong = message ? std::get_if<peer::Pong>(&*message) : nullptr) {
     member_heard_[member] = core::Steady::now();
     member_news_[member] = std::max(member_news_[member], sent - core::secs(pong->news_age_s));
+    world_.with([&](World& w) {
+      for (const auto& c : pong->cancelled) take_cancelled(w, c);
+      if (pong->complete) w.member_told_at[member] = std::max(w.member_told_at[member], sent);
+    });
   }
 }
 
@@ -86,11 +109,8 @@
 
 asio::awaitable<std::string> Controller::handle_peer(std::string frame) {
   const auto message = peer::decode(frame);
-  if (message && std::holds_alternative<peer::Ping>(*message)) {
-    const auto now = core::Steady::now();
-    const double age = world_.with([&](World& w) { return core::since(w.synced_at, now); });
-    co_return ping_frame(settings_.label, age);
-  }
+  if (const auto* ping = message ? std::get_if<peer::Ping>(&*message) : nullptr)
+    co_return world_.with([&](World& w) { return pong_frame(w, ping->epoch); });
   if (const auto* relay = message ? std::get_if<peer::Relay>(&*message) : nullptr) {
     const auto response = report(relay->report);
     co_return reply_frame(response.status, response.body);
@@ -101,13 +121,7 @@
     co_return reply_frame(answer.status, answer.body);
   }
   if (const auto* news = message ? std::get_if<peer::Cancelled>(&*message) : nullptr) {
-    boost::system::error_code ec;
-    auto record = boost::json::parse(news->record, ec);
-    if (ec) co_return reply_frame(400, "");
-    // A change like any other that the next read would show: taken in ahead of it, as our own commits are.
-    world_.with([&](World& w) {
-      w.mirror.apply({state::keys::job(news->job), std::move(record), news->stamp});
-    });
+    world_.with([&](World& w) { take_cancelled(w, *news); });
     co_return reply_frame(200, "");
   }
   co_return reply_frame(400, "");
@@ -117,9 +131,8 @@
 // else go on with the job's tasks until its next read, and start others of them.
 void Controller::spread_cancellation(const std::string& id) {
   const auto frame = world_.with([&](World& w) {
-    const auto* job = w.find_job(id);
-    return job ? cancelled_frame(id, boost::json::serialize(jobs::to_json(*job, w.names)), job->stamp)
-               : std::string();
+    const auto known = w.names.jobs.find(id);
+    return known && w.mirror.job(*known) ? peer::encode(cancelled_record(w, *known)) : std::string();
   });
   if (frame.empty()) return;
   for (std::size_t i = 0; i < links_.size(); ++i) asio::co_spawn(io_, spread(i, frame), asio::detached);
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -20,6 +20,7 @@
       usage(parts.size(),
             ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
       usage_from(parts.size(), 0),
+      member_told_at(settings.members.size()),
       owner_missing_since(parts.size()),
       fence_due(parts.size(), 0),
       fenced_at(parts.size(), 0),
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -53,6 +53,8 @@
   std::uint64_t joined_epoch = 0;  // of the write of our member key
   bool loaded = false;             // the mirror has been filled once
   core::TimePoint synced_at{};     // when the newest answered read of the changes was sent
+  // By member: when it was last asked for its cancellations and told us all of them.
+  std::vector<core::TimePoint> member_told_at;
   std::vector<core::TimePoint> owner_missing_since;
   // By part: a placement got no answer and may be applied at any later time. Nothing more is placed, and no
   // allowance given away, until the part's fence has moved, which makes the late one fail.
@@ -76,9 +78,17 @@
     return owns(p) && mirror.epoch() >= mirror.claim(p).stamp && mirror.readable(p);
   }
   [[nodiscard]] std::uint64_t token(core::PartId p) const { return mirror.claim(p).stamp; }
-  // An owner without news from the state service may be renewing tasks that were cancelled elsewhere.
+  // Every cancellation that any controller has told its user before this moment is known here: those in the
+  // store by our newest read of it, and, since each tells only what stands in its own copy, those that all
+  // other controllers have told us.
+  [[nodiscard]] core::TimePoint cancellations_known_at(core::TimePoint now) const {
+    core::TimePoint told = now;
+    for (const auto at : member_told_at) told = std::min(told, at);
+    return std::max(synced_at, told);
+  }
+  // An owner may be renewing tasks that were cancelled elsewhere.
   [[nodiscard]] bool news_fresh(core::TimePoint now) const {
-    return core::since(synced_at, now) < s.oldest_news_s();
+    return core::since(cancellations_known_at(now), now) < s.oldest_news_s();
   }
   // The job of this name, if it was ever accepted.
   [[nodiscard]] const jobs::JobRecord* find_job(std::string_view name) const {
--- a/src/peer/messages.hpp
+++ b/src/peer/messages.hpp
@@ -4,24 +4,46 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <optional>
 #include <sstream>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace finchrun::peer {
 
-inline constexpr std::uint32_t kVersion = 1;
+inline constexpr std::uint32_t kVersion = 2;
 inline constexpr std::size_t kMaxFrame = 4 * 1024 * 1024;
 
-// How the sender gets on with the state service; answered in kind.
+// Asks how the other gets on with the state service, and for the cancellations that it knows.
 struct Ping {
   std::string label;
+  std::uint64_t epoch = 0;  // everything until then the sender has read
+  template <class A>
+  void serialize(A& a) {
+    a(label, epoch);
+  }
+};
+// A job that is recorded as cancelled: its record, and the epoch of the change.
+struct Cancelled {
+  std::string job, record;
+  std::uint64_t stamp = 0;
+  template <class A>
+  void serialize(A& a) {
+    a(job, record, stamp);
+  }
+};
+struct Pong {
   double news_age_s = 0;  // since its newest answered read of the store's changes was sent
+  // With what the other has read, `cancelled` names every job that this process, or an earlier one of its
+  // label, has told any user to be cancelled.
+  bool complete = false;
+  std::vector<Cancelled> cancelled;
   template <class A>
   void serialize(A& a) {
-    a(label, news_age_s);
+    a(news_age_s, complete, cancelled);
   }
 };
 // A worker's report that reached a controller which doesn't own its part.
@@ -41,15 +63,6 @@
     a(post, target, body);
   }
 };
-// A job that is recorded as cancelled: its record, and the epoch of the change.
-struct Cancelled {
-  std::string job, record;
-  std::uint64_t stamp = 0;
-  template <class A>
-  void serialize(A& a) {
-    a(job, record, stamp);
-  }
-};
 struct Reply {
   std::int32_t status = 0;
   std::string body;
@@ -58,7 +71,7 @@
     a(status, body);
   }
 };
-using Message = std::variant<Ping, Relay, StateCall, Reply, Cancelled>;
+using Message = std::variant<Ping, Pong, Relay, StateCall, Reply, Cancelled>;
 
 inline std::string encode(const Message& m) {
   std::ostringstream out;
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -89,6 +89,14 @@
         live_.erase(id);
       }
       note_to_be_gone(id);
+      if (at.job.status == jobs::Status::cancelled) {
+        constexpr std::size_t kMostKept = 4096;
+        cancelled_.emplace(e.stamp, id);
+        if (cancelled_.size() > kMostKept) {
+          cancelled_from_ = cancelled_.begin()->first;
+          cancelled_.erase(cancelled_.begin());
+        }
+      }
     } else if (table == "runs") {
       const auto [part_name, name] = split(rest);
       const auto part = names_.parts.find(part_name);
@@ -171,6 +179,8 @@
   live_.clear();
   unreadable_.clear();
   to_be_gone_.clear();
+  cancelled_.clear();
+  cancelled_from_ = 0;
   on_machine_.clear();
   members_.clear();
   deleted_.clear();
@@ -278,6 +288,14 @@
   note_to_be_gone(id);
 }
 
+std::optional<std::vector<core::JobId>> Mirror::cancelled_after(std::uint64_t epoch) const {
+  if (epoch < cancelled_from_) return std::nullopt;
+  std::vector<core::JobId> out;
+  for (auto it = cancelled_.lower_bound({epoch + 1, core::JobId{0}}); it != cancelled_.end(); ++it)
+    out.push_back(it->second);
+  return out;
+}
+
 void Mirror::note_to_be_gone(core::JobId id) {
   const auto& at = slots_[id.v];
   if (at.known && at.job.status == jobs::Status::cancelled && at.placed > 0) {
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -107,6 +107,8 @@
   [[nodiscard]] const std::set<core::JobId>& live() const { return live_; }
   // Jobs that are cancelled and of which some task may still be on a machine.
   [[nodiscard]] const std::set<core::JobId>& to_be_gone() const { return to_be_gone_; }
+  // Cancelled after that epoch, as far as we know; nothing if too much of that is forgotten.
+  [[nodiscard]] std::optional<std::vector<core::JobId>> cancelled_after(std::uint64_t epoch) const;
   // Calls f(job, part, record) for each piece of all jobs.
   template <class F>
   void each_run(F&& f) const {
@@ -175,6 +177,9 @@
   std::set<core::JobId> live_;
   std::set<core::JobId> unreadable_;
   std::set<core::JobId> to_be_gone_;
+  // The newest cancellations, and the epoch up to which they are forgotten.
+  std::set<std::pair<std::uint64_t, core::JobId>> cancelled_;
+  std::uint64_t cancelled_from_ = 0;
   std::unordered_map<core::MachineId, std::vector<Placed>> on_machine_;
   std::unordered_map<std::string, Member> members_;
   std::vector<Claim> claims_;
--- a/tests/app/meetings_test.cpp
+++ b/tests/app/meetings_test.cpp
@@ -8,6 +8,8 @@
 // The two kinds of settings there are, and that of short leases.
 constexpr Timing kShort{1, 10, 30}, kMiddle{2.5, 15.25, 35.25}, kLong{10, 45, 70};
 
+std::size_t other(std::size_t node) { return (node + 1) % 3; }
+
 // Arrays with long to go, so that there is something to call off.
 void long_arrays(Cluster& c, double run_s) {
   for (int i = 0; i < 6; ++i)
@@ -71,6 +73,39 @@
           }};
 }
 
+// What is not called off lives through the outage: every other controller goes on telling what it has
+// confirmed. One that is cut off might know of a cancellation, so without it leases run out, as they must.
+struct Outage {
+  const char* name;
+  std::function<void(Cluster&)> also;
+  bool tasks_live;
+};
+class LongOutage : public testing::TestWithParam<Outage> {};
+TEST_P(LongOutage, CostsNoTasksWhileAllControllersTellTheirCancellations) {
+  Cluster c(7, 3, 3, kMiddle);
+  long_arrays(c, 120);
+  long_arrays(c, 120);  // more than are called off
+  gap(c, 20, 22, 60);
+  c.at(23, [&c, also = GetParam().also] { also(c); });
+  c.run(90);
+  expect_rules(c);
+  if (GetParam().tasks_live) {
+    EXPECT_EQ(c.killed_by_lease, 0u);
+  } else {
+    EXPECT_GT(c.killed_by_lease, 0u);
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, LongOutage,
+                         testing::Values(Outage{"all_there", [](Cluster&) {}, true},
+                                         Outage{"one_cut_off",
+                                                [](Cluster& c) {
+                                                  c.cut.insert({other(c.busiest()), "peers"});
+                                                },
+                                                false},
+                                         Outage{"one_forgets_what_it_told",
+                                                [](Cluster& c) { c.crash(other(c.busiest()), 0.3); }, false}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 INSTANTIATE_TEST_SUITE_P(
     Table, Meetings,
     testing::Values(
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -207,7 +207,13 @@
 
 void Cluster::step_worker(Worker& w) {
   if (w.dead || w.hanging) return;
+  const auto before = w.session;
+  const auto lost =
+      static_cast<std::size_t>(std::count_if(w.tasks.begin(), w.tasks.end(), [&](const auto& t) {
+        return t.second.on_machine() && !jobs.at(t.first.first).asked_cancel;
+      }));
   w.expire(settings_.lease_s, now_);
+  killed_by_lease += w.session != before ? lost : 0;
   std::vector<std::string> ended;
   for (auto& [key, t] : w.tasks) {
     auto& job = jobs.at(key.first);
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -65,6 +65,7 @@
   // From then on every accepted job that is not cancelled must be answered about: see `check`.
   TimePoint troubles_over{};
   std::size_t starts = 0;
+  std::size_t killed_by_lease = 0;    // tasks of jobs that are not called off
   std::size_t started_cancelled = 0;  // starts of jobs whose user knew them to be cancelled
   std::mt19937 random;
 
--- a/tests/state/mirror_test.cpp
+++ b/tests/state/mirror_test.cpp
@@ -61,6 +61,26 @@
   }
 }
 
+TEST(Mirror, TellsWhatWasCancelledAfterAnEpoch) {
+  Bed b;
+  const auto job = [&](int i, const char* status, std::uint64_t stamp) {
+    b.mirror.apply({"jobs/req-" + std::to_string(i),
+                    json::parse(std::string(R"({"n":1,"team":"red","need":[1,0,1],"st":")") + status + "\"}"),
+                    stamp});
+  };
+  job(1, "cancelled", 10);
+  job(2, "done", 11);
+  job(3, "cancelled", 12);
+  EXPECT_EQ(b.mirror.cancelled_after(9)->size(), 2u);
+  ASSERT_EQ(b.mirror.cancelled_after(10)->size(), 1u);
+  EXPECT_EQ(b.names.jobs.name(b.mirror.cancelled_after(10)->front()), "req-3");
+  EXPECT_TRUE(b.mirror.cancelled_after(12)->empty());
+  // Of very many only the newest are kept; who lacks older ones must read them.
+  for (int i = 0; i < 4096; ++i) job(10 + i, "cancelled", 20 + static_cast<std::uint64_t>(i));
+  EXPECT_FALSE(b.mirror.cancelled_after(9));
+  EXPECT_EQ(b.mirror.cancelled_after(19)->size(), 4096u);
+}
+
 TEST(Mirror, FindsEntriesByMachineAsRecordsChange) {
   Bed b;
   b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
