A scatter gang with one zone left is answered 422; odd requests are a table

Cause, from reading for "jobs that are accepted though they can't run": a gang whose tasks may not be all in one zone, bound to a zone or to types of one zone, was accepted and waited for good. Tables: each required field left out or of the wrong kind, the causes of 422, and repeats and cancellations of jobs that are over, asked of every controller.

--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -18,17 +18,21 @@
   const auto team =
       std::find_if(w.s.teams.begin(), w.s.teams.end(), [&](const auto& t) { return t.name == s.team; });
   if (team == w.s.teams.end()) return "unknown team";
-  const bool fits = std::any_of(w.fleet.flavors.begin(), w.fleet.flavors.end(), [&](const cloud::Flavor& f) {
-    if (s.types && std::find(s.types->begin(), s.types->end(), f.name) == s.types->end()) return false;
-    if (s.zone && std::find(f.zones.begin(), f.zones.end(), *s.zone) == f.zones.end()) return false;
-    return spec.need.fits(f.size);
-  });
-  if (!fits) return "a task fits no allowed machine type";
+  std::set<std::string> zones;  // in which a task fits some allowed type
+  for (const auto& f : w.fleet.flavors) {
+    if (s.types && std::find(s.types->begin(), s.types->end(), f.name) == s.types->end()) continue;
+    if (!spec.need.fits(f.size)) continue;
+    for (const auto& zone : f.zones)
+      if (!s.zone || zone == *s.zone) zones.insert(zone);
+  }
+  if (zones.empty()) return "a task fits no allowed machine type";
   const double n = spec.gang ? spec.tasks : 1;
   const sched::TeamRoom empty{{}, team->cpus_max, team->gpus_max};
   if (!empty.allows(spec.need * n)) return "the job needs more than its team's limit";
   if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1)
     return "together and scatter exclude each other";
+  if (spec.gang && spec.spread && spec.tasks > 1 && zones.size() < 2)
+    return "scatter needs a second zone that allows its tasks";
   return std::nullopt;
 }
 
--- a/tests/app/meetings_test.cpp
+++ b/tests/app/meetings_test.cpp
@@ -106,6 +106,82 @@
                                                 [](Cluster& c) { c.crash(other(c.busiest()), 0.3); }, false}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// What users send that is odd, and what they are told; by every controller the same.
+struct Odd {
+  const char* name;
+  const char *field, *value;  // of a good submission, replaced; no value: left out
+  int status;
+};
+class OddRequest : public testing::TestWithParam<Odd> {};
+TEST_P(OddRequest, IsAnsweredByItsCause) {
+  Cluster c(5);
+  auto body = json::parse(
+                  R"({"nameId":"req-900001","lane":"work","crew":"red","shape":"ensemble","urgency":"normal",
+      "pieces":2,"vcpus":1.0,"gpus":1.0,"ramGb":1.0,"plate":"img","imageGb":1.0,"together":false,
+      "scatter":true,"loaners":false,"expectS":5.0,"snapshotS":5.0,"flushS":1.0})")
+                  .as_object();
+  const auto& odd = GetParam();
+  body.erase(odd.field);
+  if (odd.value) body[odd.field] = json::parse(odd.value);
+  int answered = 0;
+  c.at(8, [&] {
+    for (std::size_t n = 0; n < 3; ++n)
+      c.ask_once(n, "POST", "/submissions", json::serialize(body), [&](int status, const std::string&) {
+        EXPECT_EQ(status, odd.status);
+        ++answered;
+      });
+  });
+  c.run(12);
+  EXPECT_EQ(answered, 3);
+}
+INSTANTIATE_TEST_SUITE_P(Table, OddRequest,
+                         testing::Values(Odd{"unknown_team", "crew", R"("green")", 422},
+                                         Odd{"task_too_large", "gpus", "5.0", 422},
+                                         Odd{"more_memory_than_any", "ramGb", "300.0", 422},
+                                         Odd{"gang_beyond_the_limit", "pieces", "13", 422},
+                                         Odd{"no_such_type", "racks", R"(["h9"])", 422},
+                                         Odd{"no_type_allowed", "racks", "[]", 422},
+                                         Odd{"no_such_zone", "hall", R"("c")", 422},
+                                         Odd{"scatter_in_one_zone", "hall", R"("a")", 422},
+                                         Odd{"scatter_and_together", "together", "true", 422},
+                                         Odd{"a_field_is_missing", "plate", nullptr, 400},
+                                         Odd{"a_field_of_the_wrong_kind", "pieces", R"("2")", 400}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+// Asked again when it is over, in whatever way, a job keeps its state; one that nobody knows is unknown.
+TEST(Meetings, RepeatsAndCancellationsOfWhatIsOverTellItsState) {
+  Cluster c(6);
+  c.at(5, [&c] { c.submit(1, false, 1, 3, "red", "normal"); });
+  c.at(5, [&c] { c.submit(1, false, 1, 60, "red", "normal"); });
+  c.at(15, [&c] { c.cancel("req-000001"); });
+  c.run(20);
+  ASSERT_TRUE(c.jobs.at("req-000000").told_done);
+  ASSERT_TRUE(c.jobs.at("req-000001").told_cancelled);
+  int answered = 0;
+  const auto expect = [&](const char* method, const std::string& target, const std::string& body, int status,
+                          const char* state) {
+    for (std::size_t n = 0; n < 3; ++n)
+      c.ask_once(n, method, target, body, [&, target, status, state](int got, const std::string& text) {
+        EXPECT_EQ(got, status) << target;
+        if (state) {
+          EXPECT_EQ(json::parse(text).at("status").as_string(), state) << target;
+        }
+        ++answered;
+      });
+  };
+  for (const auto& [id, state] : {std::pair{"req-000000", "done"}, std::pair{"req-000001", "cancelled"}}) {
+    const std::string path = std::string("/submissions/") + id;
+    expect("POST", "/submissions", json::serialize(c.jobs.at(id).spec), 200, state);
+    expect("POST", path + "/abort", "", 200, state);
+    expect("GET", path, "", 200, state);
+  }
+  expect("POST", "/submissions/req-777777/abort", "", 404, nullptr);
+  expect("GET", "/submissions/req-777777", "", 404, nullptr);
+  c.run(5);
+  EXPECT_EQ(answered, 24);
+  expect_rules(c);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table, Meetings,
     testing::Values(
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -60,6 +60,20 @@
                     BadField{"scatter", nullptr}, BadField{"loaners", "null"}, BadField{"expectS", "-3"},
                     BadField{"snapshotS", "[]"}, BadField{"flushS", nullptr}, BadField{"dueS", "-1"}));
 
+TEST(Submission, NeedsEachFieldThatMayNotBeNull) {
+  for (const char* field :
+       {"nameId", "lane", "crew", "shape", "urgency", "pieces", "vcpus", "gpus", "ramGb", "plate", "imageGb",
+        "together", "scatter", "loaners", "expectS", "snapshotS", "flushS"}) {
+    for (const char* wrong : {"", "null", "{}", "[1]"}) {
+      auto o = good();
+      o.erase(field);
+      if (*wrong) o[field] = json::parse(wrong);
+      EXPECT_TRUE(std::holds_alternative<Malformed>(parse_submission(json::serialize(o))))
+          << field << " " << wrong;
+    }
+  }
+}
+
 class BadBody : public testing::TestWithParam<const char*> {};
 TEST_P(BadBody, IsMalformedForUsersAndWorkers) {
   EXPECT_TRUE(std::holds_alternative<Malformed>(parse_submission(GetParam())));
