--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -99,8 +99,8 @@
       m.zone = w.parts.zone(part);
       m.first_seen = now;
     });
-    // Hung, it goes on with a cancelled task some time: it is not waited for as long as a zone that may come
-    // back.
+    // Hung, it still holds the cancelled task, whose time is up soon after the lease. Nothing else on it is
+    // worth the wait that a zone is given to come back.
     const auto cancelled = [&](const std::vector<state::Placed>& placed) {
       return std::any_of(placed.begin(), placed.end(),
                          [&](const state::Placed& p) { return w.mirror.to_be_gone().contains(p.job); });
@@ -112,14 +112,14 @@
       const double silent = w.silent_s(m, now);
       const auto& placed = w.mirror.on_machine(id);
       const bool in_use = !placed.empty();
+      const double patience = cancelled(placed) ? 3 : unheard[m.part.v] > heard[m.part.v] ? 90 : 15;
       const char* why = nullptr;
       if (m.listed && m.status == "failed") why = "failed";
       // Silent and not listed: it is gone, and the answer to the deletion makes that certain.
       else if (in_use && !m.listed && silent > 3 * w.s.report_s + 2 &&
                (m.ever_listed || silent > 3 * w.s.cloud_list_lag_s + 5))
         why = "unlisted";
-      else if (m.listed && m.status == "running" &&
-               silent > w.s.lease_s + (unheard[m.part.v] > heard[m.part.v] && !cancelled(placed) ? 90 : 15))
+      else if (m.listed && m.status == "running" && silent > w.s.lease_s + patience)
         why = "silent";
       else if (m.listed && m.status == "starting" && flavor &&
                core::since(m.starting_since, now) > 5 * flavor->boot_s + 30)
--- a/tests/app/meetings_test.cpp
+++ b/tests/app/meetings_test.cpp
@@ -36,6 +36,20 @@
   c.at(out_at + out_for, [&c] { c.state.recover(core::Steady::now()); });
 }
 
+// The check itself: machines that nobody reaches have room, and what was accepted waits beside it.
+TEST(Meetings, AJobThatWaitsBesideRoomIsSeen) {
+  Cluster c(4);
+  c.troubles_over = core::Steady::now() + core::secs(10);
+  c.at(8, [&c] {
+    for (std::size_t n = 0; n < 3; ++n)
+      for (const char* zone : {"zone a", "zone b"}) c.cut.insert({n, zone});
+  });
+  c.at(9, [&c] { c.submit(2, false, 1, 5, "red", "normal"); });
+  c.run(110);
+  ASSERT_FALSE(c.broken.empty());
+  EXPECT_EQ(c.broken.front(), "left waiting req-000000");
+}
+
 struct Meeting {
   const char* name;
   Timing timing;
@@ -326,6 +340,15 @@
                   c.at(21 + 47, [&c] { c.state.recover(core::Steady::now()); });
                   c.at(34, [&c] { c.refused.clear(); });
                 }},
+        Meeting{"cancelled_on_most_machines_of_a_part_that_hang_past_cancel_s", kMiddle, 100,
+                [](Cluster& c) {
+                  long_arrays(c, 70);
+                  c.at(18, [&c] {
+                    for (auto& [_, w] : c.workers)
+                      if (w.zone == "a") c.hang(w, 60);
+                    cancel_running(c, 5);
+                  });
+                }},
         Meeting{"jobs_of_one_zone_lose_machines", kShort, 80,
                 [](Cluster& c) {
                   for (int i = 0; i < 4; ++i)
