--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -127,7 +127,8 @@
       else if (m.sick && !in_use)
         why = "sick";
       // Its reports come and nothing of ours arrives: its lease has run out, and again, with us answering.
-      else if (m.deaf() && core::since(*m.deaf_since, now) > 2 * w.s.lease_s + 15)
+      // One whose reports don't come either may be cut off, and is waited for as such.
+      else if (m.deaf() && silent < w.s.lease_s && core::since(*m.deaf_since, now) > 2 * w.s.lease_s + 15)
         why = "deaf";
       else if (m.reported && !in_use && core::since(m.idle_since, now) > w.t.idle_return_s)
         why = "idle";
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -79,6 +79,7 @@
   void send_starts(const Edit& e);
   // Tasks of cancelled jobs: stopped by direct orders, whether or not the state service answers.
   asio::awaitable<void> stop_loop();
+  asio::awaitable<void> stop(core::MachineId machine, std::vector<wire::Order> orders);
   // Tells the other controllers of a cancellation that its user is about to be told of.
   void spread_cancellation(const std::string& id);
   asio::awaitable<void> spread(std::size_t member, std::string frame);
@@ -171,6 +172,7 @@
   core::TimePoint next_round_{}, last_round_{};
   std::uint64_t round_version_ = 0;
   double round_seconds_ = 0;  // since the round before
+  std::size_t stops_under_way_ = 0, news_under_way_ = 0;
   // What a team uses of its allowance in one of our parts, and what it lacks there.
   struct Shortage {
     core::PartId part;
--- a/src/app/evictions.cpp
+++ b/src/app/evictions.cpp
@@ -80,7 +80,7 @@
 // Every few seconds a report asks what to do; on a machine that reaches nobody, none does. A stop sent
 // straight to the worker also follows a start that is held up on its way, under the same token.
 asio::awaitable<void> Controller::stop_loop() {
-  constexpr std::size_t kMostMachines = 32;  // at once: more would crowd out renewals and answers
+  constexpr std::size_t kMostUnderWay = 32;  // to machines that don't answer: each holds a socket for seconds
   constexpr double kFirstPause = 1, kLongestPause = 8;
   while (true) {
     co_await sleep(0.2);
@@ -98,7 +98,7 @@
             if (!m || !m->reported || m->gone || w.fleet.ended(id, part, e)) continue;
             auto& again = w.fleet.stopping[{id, e.task, e.attempt}];
             if (again.next > now) continue;
-            if (stops.size() >= kMostMachines && !stops.contains(e.machine)) continue;
+            if (stops_under_way_ + stops.size() >= kMostUnderWay && !stops.contains(e.machine)) continue;
             auto& orders = stops[e.machine];
             if (orders.size() >= wire::kMaxOrders) continue;
             again.next = now + jitter(std::min(kLongestPause, kFirstPause * (1 << std::min(again.tries, 4))));
@@ -109,10 +109,16 @@
       }
     });
     for (auto& [machine, orders] : stops)
-      asio::co_spawn(io_, send(machine, std::move(orders), {}), asio::detached);
+      asio::co_spawn(io_, stop(machine, std::move(orders)), asio::detached);
   }
 }
 
+asio::awaitable<void> Controller::stop(core::MachineId machine, std::vector<wire::Order> orders) {
+  ++stops_under_way_;
+  co_await send(machine, std::move(orders), {});
+  --stops_under_way_;
+}
+
 void Controller::make_room(core::PartId part, const sched::Plan& plan, std::vector<sched::Demand>& demands,
                            const RoundView& view, std::size_t machines, core::TimePoint now) {
   if (plan.unplaced.empty()) return;
--- a/src/app/peer_loop.cpp
+++ b/src/app/peer_loop.cpp
@@ -134,12 +134,16 @@
     const auto known = w.names.jobs.find(id);
     return known && w.mirror.job(*known) ? peer::encode(cancelled_record(w, *known)) : std::string();
   });
-  if (frame.empty()) return;
+  // To members that don't answer each holds a socket for seconds; what is left out comes with the next ping.
+  constexpr std::size_t kMostUnderWay = 32;
+  if (frame.empty() || news_under_way_ >= kMostUnderWay) return;
   for (std::size_t i = 0; i < links_.size(); ++i) asio::co_spawn(io_, spread(i, frame), asio::detached);
 }
 
 asio::awaitable<void> Controller::spread(std::size_t member, std::string frame) {
+  ++news_under_way_;
   co_await links_[member]->call(std::move(frame), std::chrono::milliseconds(1500));
+  --news_under_way_;
 }
 
 // The member to relay a report to: the owner of the machine's part, when its worker was sent there a moment
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -82,6 +82,8 @@
   // store by our newest read of it, and, since each tells only what stands in its own copy, those that all
   // other controllers have told us.
   [[nodiscard]] core::TimePoint cancellations_known_at(core::TimePoint now) const {
+    // One that the settings don't name might confirm some, and tells us nothing.
+    if (static_cast<int>(member_told_at.size()) + 1 < s.nodes) return synced_at;
     core::TimePoint told = now;
     for (const auto at : member_told_at) told = std::min(told, at);
     return std::max(synced_at, told);
--- a/tests/app/world_test.cpp
+++ b/tests/app/world_test.cpp
@@ -46,6 +46,8 @@
   w.synced_at = core::TimePoint(core::secs(c.synced_s));
   for (std::size_t m = 0; m < 2; ++m) w.member_told_at[m] = core::TimePoint(core::secs(c.told_s[m]));
   EXPECT_EQ(w.news_fresh(core::TimePoint(core::secs(c.now_s))), c.fresh);
+  w.s.nodes = 4;  // one more than the settings name: only the store tells what it has confirmed
+  EXPECT_EQ(w.news_fresh(core::TimePoint(core::secs(c.now_s))), c.fresh && c.now_s < c.synced_s + 16.9);
 }
 INSTANTIATE_TEST_SUITE_P(Table, NewsFresh,
                          testing::Values(News{"store_alone", 100, {0, 0}, 116.8, true},
