--- a/tests/app/meetings_test.cpp
+++ b/tests/app/meetings_test.cpp
@@ -385,5 +385,77 @@
                 }}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Several of these troubles at once, drawn at random, with cancellations into them: nothing may break.
+class RandomMeeting : public testing::TestWithParam<std::uint32_t> {};
+TEST_P(RandomMeeting, KeepsTheRules) {
+  const Timing timings[] = {kShort, kMiddle, kLong};
+  Cluster c(GetParam(), 3, 3, timings[GetParam() % 3]);
+  std::mt19937 dice(GetParam() * 104729);
+  const auto when = [&] { return 8.0 + dice() % 80; };
+  const auto for_s = [&] { return 2.0 + dice() % 30; };
+  load(c, 12, 40);
+  long_arrays(c, 60);
+  const auto machine = [&c](std::uint32_t pick) -> Worker* {
+    if (c.workers.empty()) return nullptr;
+    auto it = c.workers.begin();
+    std::advance(it, pick % c.workers.size());
+    return &it->second;
+  };
+  const std::vector<std::function<void(double, std::uint32_t)>> troubles{
+      [&](double s, std::uint32_t) {
+        c.faults.late_write = 0.15;
+        c.at(s, [&c] { c.faults.late_write = 0; });
+      },
+      [&](double s, std::uint32_t) {
+        c.faults.copy_report = 0.3;
+        c.at(s, [&c] { c.faults.copy_report = 0; });
+      },
+      [&](double s, std::uint32_t) {
+        const auto node = c.busiest();
+        c.refused.insert(node);
+        c.at(s, [&c, node] { c.refused.erase(node); });
+      },
+      [&](double s, std::uint32_t) {
+        c.state.outage = true;
+        c.at(s, [&c] { c.state.recover(core::Steady::now()); });
+      },
+      [&](double s, std::uint32_t) {
+        const auto node = c.busiest();
+        for (const char* what : {"state", "peers"}) {
+          c.cut.insert({node, what});
+          c.at(s, [&c, node, what] { c.cut.erase({node, what}); });
+        }
+      },
+      [&](double s, std::uint32_t) { c.crash(c.busiest(), s < 10 ? 0.2 : 5); },
+      [&](double s, std::uint32_t pick) {
+        for (std::uint32_t i = 0; i < 2; ++i)
+          if (auto* w = machine(pick + i); w && !w->hanging) c.hang(*w, s);
+      },
+      [&](double s, std::uint32_t pick) {
+        for (std::uint32_t i = 0; i < 2; ++i) {
+          auto* w = machine(pick + i);
+          if (!w) continue;
+          (pick % 2 ? w->deaf : w->mute) = true;
+          c.at(s, [&c, name = w->name] {
+            if (const auto at = c.workers.find(name); at != c.workers.end())
+              at->second.deaf = at->second.mute = false;
+          });
+        }
+      },
+      [&](double s, std::uint32_t) {
+        c.faults.slow_state_s = 0.4;
+        c.at(s, [&c] { c.faults.slow_state_s = 0; });
+      }};
+  for (int i = 0; i < 7; ++i) {
+    const auto pick = dice();
+    const double from = when(), last = for_s();
+    c.at(from, [&troubles, pick, last] { troubles[pick % troubles.size()](last, pick / 16); });
+    c.at(from + 0.2 * (pick % 10), [&c] { cancel_running(c, 2); });
+  }
+  c.run(170);
+  expect_rules(c);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomMeeting, testing::Range(300u, 312u));
+
 }  // namespace
 }  // namespace finchrun::sim
