--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -102,8 +102,9 @@
     // Hung, it still holds the cancelled task, whose time is up soon after the lease. Nothing else on it is
     // worth the wait that a zone is given to come back.
     const auto cancelled = [&](const std::vector<state::Placed>& placed) {
-      return std::any_of(placed.begin(), placed.end(),
-                         [&](const state::Placed& p) { return w.mirror.to_be_gone().contains(p.job); });
+      return std::any_of(placed.begin(), placed.end(), [&](const state::Placed& p) {
+        return w.mirror.cancelled_with_tasks().contains(p.job);
+      });
     };
     for (auto& [id, m] : w.fleet.all()) {
       if (returns.size() >= 50) break;
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -31,7 +31,7 @@
       tuning_(t),
       links_(std::move(links)),
       member_heard_(links_.size()),
-      member_news_(links_.size()),
+      member_state_seen_(links_.size()),
       store_(network, s, detour()),
       cloud_(network, s),
       world_(s, t),
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -68,11 +68,11 @@
   asio::awaitable<void> push_loop();
   asio::awaitable<void> push(core::MachineId machine);
   // Orders straight to the worker, and what came of it.
-  struct Told {
+  struct DirectAnswer {
     int status = 0;                    // 0: no answer
     std::optional<std::uint64_t> seq;  // of the answer, if the orders were executed
   };
-  asio::awaitable<Told> tell(core::MachineId machine, const std::vector<wire::Order>& orders);
+  asio::awaitable<DirectAnswer> order(core::MachineId machine, const std::vector<wire::Order>& orders);
   // Sends orders straight to the worker; `starts` are those among them that start tasks.
   asio::awaitable<void> send(core::MachineId machine, std::vector<wire::Order> orders,
                              std::vector<worker::Start> starts);
@@ -81,7 +81,7 @@
   asio::awaitable<void> stop_loop();
   asio::awaitable<void> stop(core::MachineId machine, std::vector<wire::Order> orders);
   // Tells the other controllers of a cancellation that its user is about to be told of.
-  void spread_cancellation(const std::string& id);
+  void announce_cancellation(const std::string& id);
   asio::awaitable<void> spread(std::size_t member, std::string frame);
 
   // Own parts: records and rounds. One coroutine, so that the writes of this controller never race each
@@ -89,9 +89,12 @@
   asio::awaitable<void> writer_loop();
   asio::awaitable<void> flush();
   Edit settle_part(const World& w, core::PartId part);
+  static Edit shrink_part(const World& w, core::PartId part);
+  // Everything recorded of the part is within the limits on values.
+  static bool records_fit(const World& w, core::PartId part);
   asio::awaitable<void> round();
   // Fills the view; false if nothing can be decided now.
-  bool look(World& w, RoundView& view, core::TimePoint now);
+  bool build_view(World& w, RoundView& view, core::TimePoint now);
   // What a round has found for one job.
   struct Placing {
     core::PartId part;
@@ -105,10 +108,10 @@
   void log_round(core::PartId part, const sched::Plan& plan, const std::vector<sched::Demand>& demands);
   asio::awaitable<void> record_placements(const std::vector<Placing>& placings, std::uint64_t attempt);
   // After a write that got no answer: nothing that it could upset is decided until the fences have moved.
-  void fence_off(const std::vector<state::Condition>& when);
-  asio::awaitable<void> raise_fences();
-  void note_shortage(core::PartId part, const sched::Plan& plan, const std::vector<sched::Demand>& demands,
-                     const std::vector<core::Resources>& used);
+  void require_new_fences(const std::vector<state::Condition>& when);
+  asio::awaitable<void> move_fences();
+  void collect_shortages(core::PartId part, const sched::Plan& plan,
+                         const std::vector<sched::Demand>& demands, const std::vector<core::Resources>& used);
   asio::awaitable<void> share_allowances();
   void drain(World& w);
   void make_room(core::PartId part, const sched::Plan& plan, std::vector<sched::Demand>& demands,
@@ -132,7 +135,7 @@
   // The other controllers.
   class Detour;
   std::unique_ptr<http::Transport> detour();
-  [[nodiscard]] std::optional<std::size_t> member_with_news() const;
+  [[nodiscard]] std::optional<std::size_t> member_in_touch_with_state() const;
   asio::awaitable<void> peer_loop();
   asio::awaitable<void> ping(std::size_t member);
   std::optional<std::size_t> relay_to(const std::string& body);
@@ -144,7 +147,7 @@
   asio::awaitable<http::Response> hello(std::string body);
   http::Response report(const std::string& body);
   http::Response status_of(core::JobId id);
-  bool without_news();
+  bool out_of_touch_with_state();
   bool healthy();
 
   asio::awaitable<void> sleep(double seconds);
@@ -156,7 +159,8 @@
   const config::Tuning tuning_;
   std::vector<std::unique_ptr<peer::Link>> links_;  // by member
   std::vector<core::TimePoint> member_heard_;       // when each last answered a ping
-  std::vector<core::TimePoint> member_news_;  // how new each member's view of the state service is, at least
+  std::vector<core::TimePoint>
+      member_state_seen_;  // how new each member's view of the state service is, at least
   state::Store store_;
   cloud::Cloud cloud_;
   core::Locked<World> world_;
@@ -172,14 +176,14 @@
   core::TimePoint next_round_{}, last_round_{};
   std::uint64_t round_version_ = 0;
   double round_seconds_ = 0;  // since the round before
-  std::size_t stops_under_way_ = 0, news_under_way_ = 0;
+  std::size_t stops_in_flight_ = 0, announcements_in_flight_ = 0;
   // What a team uses of its allowance in one of our parts, and what it lacks there.
   struct Shortage {
     core::PartId part;
     core::TeamId team;
     core::Resources used, more, team_used;  // `team_used`: in all parts
   };
-  std::vector<Shortage> short_of_;
+  std::vector<Shortage> shortages_;
   core::TimePoint last_unwish_{};
   std::vector<sched::Demand> backlog_;  // what the last round could not place
   std::vector<core::PartId> backlog_part_;
--- a/src/app/edits.cpp
+++ b/src/app/edits.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 std::size_t bytes_of(const state::Ended& e) { return json::serialize(state::to_json(e)).size() + 1; }
+// What the name of a shard takes in the list of ends, with the signs around its jobs.
+std::size_t frame_of(const std::string& shard) { return shard.size() + 6; }
 // What the job's ends in one shard take, with the names around them.
 std::size_t bytes_of(const World& w, core::JobId id, const std::vector<state::Ended>& items) {
   std::size_t bytes = w.names.jobs.name(id).size() + 8;
@@ -21,43 +23,179 @@
   return bytes;
 }
 
+// Of a shard's limit: a job of many entries is given shards with so much room.
+constexpr double kShareForLarge = 0.9;
+// What a shard may be short of, in entries, beside the room that it was chosen for.
+constexpr std::size_t kSpareEntries = 2;
+
+// One change is left to the ends.
+std::size_t shards_for(const config::StateLimits& limits, std::size_t most_changes) {
+  return std::clamp<std::size_t>(most_changes - 1, 1, limits.most_full_values());
+}
+
 }  // namespace
 
-PartWriter::PartWriter(const World& w, core::PartId part)
-    : w_(w), part_(part), ends_(w.mirror.ends(part).shards) {
-  for (const auto& [name, jobs] : ends_)
-    for (const auto& [id, items] : jobs) ends_bytes_ += bytes_of(w, id, items);
-  constexpr double kBodyKb = 40;  // of the 64 that a transaction may have, besides the ends
-  most_bytes_ = static_cast<std::size_t>(w.s.state_value_kb * 1024 * 0.95);
-  most_shards_ =
-      std::max<std::size_t>(1, std::min(static_cast<std::size_t>(std::max(1, w.s.state_txn_ops - 5)),
-                                        static_cast<std::size_t>(kBodyKb / w.s.state_value_kb)));
+PartWriter::PartWriter(const World& w, core::PartId part, std::size_t most_changes)
+    : w_(w),
+      part_(part),
+      most_changes_(most_changes),
+      most_shards_(shards_for(w.s.state_limits, most_changes)),
+      most_bytes_(w.s.state_limits.value_bytes()) {
+  for (const auto& [name, jobs] : w.mirror.ends(part).shards) {
+    // Its shard has been written without what has ended: nothing is lost with these.
+    const auto shard = w.mirror.find_shard(part, name);
+    if (shard && !w.mirror.shard(*shard).needs_ends) continue;
+    ends_.emplace(name, jobs);
+    ends_bytes_ += frame_of(name);
+    for (const auto& [id, items] : jobs) ends_bytes_ += app::bytes_of(w, id, items);
+  }
+  ends_too_long_ = ends_bytes_ > most_bytes_;
+}
+
+std::size_t PartWriter::most_entries(const config::StateLimits& limits) {
+  const auto for_each = static_cast<std::size_t>(kShareForLarge * static_cast<double>(limits.value_bytes()));
+  return shards_for(limits, limits.most_changes()) * (for_each / jobs::kEntryBytes - kSpareEntries);
+}
+
+std::size_t PartWriter::bytes_of(const Contents& jobs) const {
+  std::size_t bytes = 0;
+  for (const auto& [_, run] : jobs) bytes += jobs::bytes_at_most(run, w_.names);
+  return bytes;
+}
+
+PartWriter::Contents PartWriter::contents(core::ShardId id) const {
+  Contents out;
+  const auto& shard = w_.mirror.shard(id);
+  const auto ended = ends_.find(shard.name);
+  for (const auto job_id : shard.jobs) {
+    const auto* run = w_.mirror.run(job_id, id);
+    const auto* job = w_.mirror.job(job_id);
+    if (!run || (job && job->status != jobs::Status::live && run->entries.empty())) continue;
+    auto& copy = out[job_id] = *run;
+    if (ended == ends_.end()) continue;
+    if (const auto items = ended->second.find(job_id); items != ended->second.end())
+      state::settle(copy, items->second);
+  }
+  return out;
+}
+
+bool PartWriter::fits(core::ShardId shard) const {
+  return w_.mirror.shard(shard).bytes <= most_bytes_ || bytes_of(contents(shard)) <= most_bytes_;
+}
+
+void PartWriter::drop_ends(const std::string& shard) {
+  const auto noted = ends_.find(shard);
+  if (noted == ends_.end()) return;
+  ends_bytes_ -= frame_of(shard);
+  for (const auto& [job, items] : noted->second) ends_bytes_ -= app::bytes_of(w_, job, items);
+  ends_.erase(noted);
+  ends_changed_ = true;
 }
 
 PartWriter::Open* PartWriter::open(const std::string& name) {
   if (const auto it = open_.find(name); it != open_.end()) return &it->second;
   if (open_.size() >= most_shards_) return nullptr;
-  auto& o = open_[name];
   const auto id = w_.mirror.find_shard(part_, name);
-  if (!id) return &o;
-  decltype(ends_)::mapped_type ended;
-  if (const auto noted = ends_.find(name); noted != ends_.end()) {
-    for (const auto& [job, items] : noted->second) ends_bytes_ -= bytes_of(w_, job, items);
-    ended = std::move(noted->second);
-    ends_.erase(noted);
-    ends_changed_ = true;
+  if (!id) return &open_[name];
+  auto jobs = contents(*id);
+  const auto bytes = bytes_of(jobs);
+  if (bytes > most_bytes_) return nullptr;
+  if (!ends_too_long_) drop_ends(name);
+  auto& shard = open_[name];
+  shard = {w_.mirror.shard(*id).stamp, bytes, std::move(jobs)};
+  return &shard;
+}
+
+std::string PartWriter::unused_name() const {
+  for (std::size_t number = 0;; ++number) {
+    auto name = std::to_string(number);
+    const auto known = w_.mirror.find_shard(part_, name);
+    if (!open_.contains(name) && (!known || w_.mirror.shard(*known).stamp == 0)) return name;
   }
-  const auto& shard = w_.mirror.shard(*id);
-  o.stamp = shard.stamp;
-  for (const auto job_id : shard.jobs) {
-    const auto* run = w_.mirror.run(job_id, *id);
-    const auto* job = w_.mirror.job(job_id);
-    if (!run || (job && job->status != jobs::Status::live && run->entries.empty())) continue;
-    auto& copy = o.jobs[job_id] = *run;
-    if (const auto items = ended.find(job_id); items != ended.end()) state::settle(copy, items->second);
-    o.bytes += jobs::bytes_at_most(copy, w_.names);
+}
+
+std::optional<std::vector<PartWriter::Contents>> PartWriter::spread(const Contents& jobs,
+                                                                    const std::set<core::JobId>& pinned,
+                                                                    std::size_t most) const {
+  std::vector<Contents> out(1);
+  std::size_t bytes = 0;
+  std::set<core::JobId> leave;  // those of `pinned` that don't fit into the first shard
+  for (const auto id : pinned) {
+    const auto job = jobs.find(id);
+    if (job == jobs.end()) continue;
+    jobs::RunRecord done;
+    done.done = job->second.done;
+    const auto more = jobs::bytes_at_most(done, w_.names);
+    if (bytes + more > most_bytes_) {
+      leave.insert(id);
+      continue;
+    }
+    bytes += more;
+    out[0][id] = std::move(done);
   }
-  return &o;
+  // Puts one thing of the job into the newest shard, or into one more if it is full.
+  const auto put = [&](core::JobId id, auto&& add) {
+    const auto known = out.back().find(id);
+    const bool fresh = known == out.back().end();
+    auto next = fresh ? jobs::RunRecord{} : known->second;
+    const auto before = fresh ? 0 : jobs::bytes_at_most(next, w_.names);
+    add(next);
+    const auto after = bytes + jobs::bytes_at_most(next, w_.names) - before;
+    if (after <= most_bytes_) {
+      bytes = after;
+      out.back()[id] = std::move(next);
+      return;
+    }
+    out.emplace_back();
+    add(out.back()[id]);
+    bytes = bytes_of(out.back());
+  };
+  const auto put_job = [&](core::JobId id, const jobs::RunRecord& run, bool with_done) {
+    if (with_done)
+      for (const auto& span : run.done.spans())
+        put(id, [&](jobs::RunRecord& to) { to.done.add(span.first, span.second); });
+    for (const auto& entry : run.entries) put(id, [&](jobs::RunRecord& to) { to.entries.push_back(entry); });
+  };
+  for (const auto& [id, run] : jobs)
+    if (!leave.contains(id)) put_job(id, run, !pinned.contains(id));
+  if (!leave.empty() && out.size() == 1) {
+    out.emplace_back();
+    bytes = 0;
+  }
+  for (const auto id : leave) put_job(id, jobs.at(id), true);
+  if (out.size() > most) return std::nullopt;
+  return out;
+}
+
+bool PartWriter::split(const std::string& name) {
+  const auto id = w_.mirror.find_shard(part_, name);
+  const auto jobs = contents(*id);
+  const auto noted = ends_.find(name);
+  std::optional<std::vector<Contents>> shards;
+  if (!ends_too_long_) shards = spread(jobs, {}, most_changes_ - 1);
+  if (shards) {
+    drop_ends(name);
+  } else {
+    // The ends stay as they are and are harmless when read again: what they name is not in this shard any
+    // more, and either what they say is done stands in it still, so that it is never counted twice, or
+    // nothing of their job is in it, and they are passed over.
+    std::set<core::JobId> pinned;
+    if (noted != ends_.end())
+      for (const auto& [job, _] : noted->second) pinned.insert(job);
+    shards = spread(jobs, pinned, most_changes_);
+  }
+  if (!shards) return false;
+  open_[name] = {w_.mirror.shard(*id).stamp, 0, std::move(shards->front())};
+  for (std::size_t i = 1; i < shards->size(); ++i) open_[unused_name()].jobs = std::move((*shards)[i]);
+  return true;
+}
+
+bool PartWriter::shrink() {
+  for (const auto shard : w_.mirror.shards(part_))
+    if (!fits(shard) && split(w_.mirror.shard(shard).name)) return true;
+  if (!ends_too_long_) return false;
+  for (const auto& [name, _] : ends_) open(name);
+  return !open_.empty();
 }
 
 PartWriter::Open* PartWriter::with_room(core::JobId id, std::size_t bytes) {
@@ -69,36 +207,34 @@
   }
   if (best) return best;
   if (open_.size() >= most_shards_) return nullptr;
-  // Else the fullest with room, so that what is new stays together.
+  // Else the one of which most has ended, since writing it shortens the ends; of those the fullest with room,
+  // so that what is new stays together.
   std::string choice;
-  std::size_t fullest = 0;
-  std::size_t number = 0;
+  std::pair<std::size_t, std::size_t> best_score{0, 0};  // ends, bytes
   for (const auto shard : w_.mirror.shards(part_)) {
     const auto& s = w_.mirror.shard(shard);
     if (open_.contains(s.name)) continue;
-    auto& size = sizes_[s.name];
-    if (size == 0) {
-      size = 1;
-      for (const auto job : s.jobs)
-        if (const auto* run = w_.mirror.run(job, shard)) size += jobs::bytes_at_most(*run, w_.names);
-    }
-    if (size + bytes > most_bytes_ || size < fullest) continue;
-    fullest = size;
+    const std::pair score{ends_of(s.name), s.bytes};
+    if (s.bytes + bytes > most_bytes_ || score < best_score) continue;
+    best_score = score;
     choice = s.name;
   }
-  while (choice.empty()) {
-    const auto name = std::to_string(number++);
-    const auto known = w_.mirror.find_shard(part_, name);
-    if (!open_.contains(name) && (!known || w_.mirror.shard(*known).stamp == 0)) choice = name;
-  }
-  return open(choice);
+  return open(choice.empty() ? unused_name() : choice);
+}
+
+std::size_t PartWriter::ends_of(const std::string& shard) const {
+  std::size_t n = 0;
+  if (const auto noted = ends_.find(shard); noted != ends_.end())
+    for (const auto& [_, items] : noted->second) n += items.size();
+  return n;
 }
 
 bool PartWriter::add(core::JobId id, const std::vector<jobs::Entry>& entries) {
   std::vector<std::pair<Open*, std::size_t>> added;
   for (std::size_t at = 0; at < entries.size();) {
-    // As much of it together as there is room for; a large gang may need several shards.
-    Open* o = with_room(id, std::min((entries.size() - at + 1) * jobs::kEntryBytes, most_bytes_ / 2));
+    // As much of it together as there is room for; a large job may need several shards.
+    const auto large = static_cast<std::size_t>(kShareForLarge * static_cast<double>(most_bytes_));
+    Open* o = with_room(id, std::min((entries.size() - at + 1) * jobs::kEntryBytes, large));
     if (!o) {
       for (const auto& [shard, n] : added) {
         auto& list = shard->jobs[id].entries;
@@ -127,9 +263,9 @@
         }))
       continue;
     state::Ended item{f.task, f.attempt, {0, 0}};
-    if (f.done && job && job->spec.gang) {
+    if (f.done && job && job->spec.gang()) {
       item.done = {0, job->spec.tasks};  // a gang completes together
-    } else if (f.done) {
+    } else if (f.done && !(job && job->spec.standing())) {
       item.done = {f.task, f.task + 1};
     }
     const auto& name = w_.mirror.shard(p.shard).name;
@@ -142,16 +278,18 @@
 }
 
 bool PartWriter::note_end(const std::string& shard, core::JobId id, const state::Ended& item) {
-  const auto more = bytes_of(w_, id, {item});
+  if (ends_too_long_) {
+    if (!open(shard)) return false;
+    state::settle(open_.at(shard).jobs[id], {item});
+    return true;
+  }
+  const auto more = app::bytes_of(w_, id, {item}) + frame_of(shard);
   if (ends_bytes_ + more > most_bytes_) {
     // As it is written, what stands here of it goes.
     std::string longest = shard;
     std::size_t most = 0;
-    for (const auto& [name, jobs] : ends_) {
-      std::size_t n = 0;
-      for (const auto& [_, items] : jobs) n += items.size();
-      if (n > most) most = n, longest = name;
-    }
+    for (const auto& [name, _] : ends_)
+      if (const auto n = ends_of(name); n > most) most = n, longest = name;
     if (!open(longest)) return false;
     if (const auto o = open_.find(shard); o != open_.end()) {
       state::settle(o->second.jobs[id], {item});
@@ -159,8 +297,9 @@
     }
     if (ends_bytes_ + more > most_bytes_) return false;
   }
+  if (!ends_.contains(shard)) ends_bytes_ += frame_of(shard);
   auto& items = ends_[shard][id];
-  ends_bytes_ += items.empty() ? more : bytes_of(item);
+  ends_bytes_ += items.empty() ? app::bytes_of(w_, id, {item}) : app::bytes_of(item);
   items.push_back(item);
   ends_changed_ = true;
   return true;
--- a/src/app/edits.hpp
+++ b/src/app/edits.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,10 +27,21 @@
 // of every shard that is written anyway.
 class PartWriter {
  public:
-  PartWriter(const World& w, core::PartId part);
+  PartWriter(const World& w, core::PartId part) : PartWriter(w, part, w.s.state_limits.most_changes()) {}
+  // `most_changes`: so many of its transaction's changes the writer may use.
+  PartWriter(const World& w, core::PartId part, std::size_t most_changes);
 
   // Puts the entries where they fit. False, with nothing changed, if that would touch too many shards.
   bool add(core::JobId id, const std::vector<jobs::Entry>& entries);
+  // So many entries of one job always fit into a transaction that holds nothing else.
+  static std::size_t most_entries(const config::StateLimits& limits);
+  // One step towards values within the limits, for what was written under larger ones: one shard is split, or
+  // those are rewritten that a too long list of ends speaks of. For a writer that does nothing else. False if
+  // there is nothing to do, or nothing that fits into one transaction.
+  bool shrink();
+  // Is the shard within the limit on values?
+  [[nodiscard]] bool fits(core::ShardId shard) const;
+  [[nodiscard]] bool ends_too_long() const { return ends_too_long_; }
   // Removes the fact's entry and marks what is done: in its shard if that is written anyway, else ahead of it
   // among the part's ends. False if there is no room for it in this transaction.
   bool settle(const worker::Fact& f);
@@ -39,12 +52,29 @@
   void finish(Edit& e) const;
 
  private:
+  using Contents = std::map<core::JobId, jobs::RunRecord>;
+  using EndedOfJobs = std::map<core::JobId, std::vector<state::Ended>>;
   struct Open {
     std::uint64_t stamp = 0;
     std::size_t bytes = 0;
-    std::map<core::JobId, jobs::RunRecord> jobs;
+    Contents jobs;
   };
+  // Nothing if too many are open, or if it is over the limit and has to be split first.
   Open* open(const std::string& name);
+  // What the shard shall hold from now on: what this writer's ends say of it is taken in.
+  [[nodiscard]] Contents contents(core::ShardId shard) const;
+  [[nodiscard]] std::size_t bytes_of(const Contents& jobs) const;
+  void drop_ends(const std::string& shard);
+  // How many ends are noted for the shard.
+  [[nodiscard]] std::size_t ends_of(const std::string& shard) const;
+  // Spreads the shard's contents over itself and new ones.
+  bool split(const std::string& name);
+  // As many shards as needed, at most `most`. Of the jobs in `pinned` either all that is done stays in the
+  // first or nothing at all of the job.
+  [[nodiscard]] std::optional<std::vector<Contents>> spread(const Contents& jobs,
+                                                            const std::set<core::JobId>& pinned,
+                                                            std::size_t most) const;
+  [[nodiscard]] std::string unused_name() const;
   // Puts it among the part's ends; rewrites the shard that they say most of when they have grown too long.
   bool note_end(const std::string& shard, core::JobId id, const state::Ended& item);
   // The open or known shard with room for so much; a new one if there is none.
@@ -52,13 +82,14 @@
 
   const World& w_;
   core::PartId part_;
-  std::size_t most_shards_, most_bytes_;
+  std::size_t most_changes_, most_shards_, most_bytes_;
   std::map<std::string, Open> open_;
-  std::map<std::string, std::map<core::JobId, std::vector<state::Ended>>>
-      ends_;  // of shards that aren't open
+  std::map<std::string, EndedOfJobs> ends_;  // of shards that aren't open
   std::size_t ends_bytes_ = 0;
+  // Written under larger limits: the ends stay as they are until every shard that they speak of is written
+  // without what has ended. Until then ends go into their shards.
+  bool ends_too_long_ = false;
   bool ends_changed_ = false;
-  std::map<std::string, std::size_t> sizes_;  // of shards that were looked at for room
 };
 
 jobs::JobRecord finished(const jobs::JobRecord& job);
--- a/src/app/evictions.cpp
+++ b/src/app/evictions.cpp
@@ -13,6 +13,7 @@
 // Tasks of the part that could be stopped, and what that would cost.
 std::vector<sched::Running> running_in(const World& w, core::PartId part, const std::set<core::JobId>& within,
                                        core::TimePoint now) {
+  constexpr double kGapS = 30;
   constexpr double kYoung = 30;  // a start that is stopped sooner than this was none, to its user
   std::vector<sched::Running> out;
   w.mirror.each_named_machine([&](core::MachineId machine, const std::vector<state::Placed>& list) {
@@ -33,9 +34,10 @@
       r.machine = machine;
       r.need = job->spec.need;
       r.priority = static_cast<int>(job->spec.priority);
-      r.gang = job->spec.gang;
+      r.gang = job->spec.gang();
       r.within = within.contains(id);
-      r.loss_s = job->spec.checkpoint_s > 0 ? job->spec.save_s + 5 : ran;
+      // What stopping a replica costs is the gap until another one runs, not the time that it has run.
+      r.loss_s = job->spec.standing() ? kGapS : job->spec.checkpoint_s > 0 ? job->spec.save_s + 5 : ran;
       if (ran < kYoung) r.loss_s += 20;
       r.left_s = std::max(job->spec.expect_s - ran, 0.1 * job->spec.expect_s + 1);
       out.push_back(r);
@@ -62,7 +64,7 @@
       const auto* job = w.mirror.job(placed.job);
       if (!job || job->status != jobs::Status::live) continue;
       if (*m.notice_s > job->spec.save_s + 2 * w.s.report_s + 4) continue;
-      if (job->spec.gang) {
+      if (job->spec.gang()) {
         gangs.insert(placed.job);
       } else {
         stop(placed.job, job->spec, placed.entry);
@@ -80,7 +82,7 @@
 // Every few seconds a report asks what to do; on a machine that reaches nobody, none does. A stop sent
 // straight to the worker also follows a start that is held up on its way, under the same token.
 asio::awaitable<void> Controller::stop_loop() {
-  constexpr std::size_t kMostUnderWay = 32;  // to machines that don't answer: each holds a socket for seconds
+  constexpr std::size_t kMostInFlight = 32;  // to machines that don't answer: each holds a socket for seconds
   constexpr double kFirstPause = 1, kLongestPause = 8;
   while (true) {
     co_await sleep(0.2);
@@ -88,9 +90,9 @@
     std::map<core::MachineId, std::vector<wire::Order>> stops;
     world_.with([&](World& w) {
       std::erase_if(w.fleet.stopping, [&](const auto& item) {
-        return !w.mirror.to_be_gone().contains(std::get<core::JobId>(item.first));
+        return !w.mirror.cancelled_with_tasks().contains(std::get<core::JobId>(item.first));
       });
-      for (const auto id : w.mirror.to_be_gone()) {
+      for (const auto id : w.mirror.cancelled_with_tasks()) {
         w.mirror.each_run(id, [&](core::PartId part, const jobs::RunRecord& run) {
           if (!w.acting(part)) return;
           for (const auto& e : run.entries) {
@@ -98,7 +100,7 @@
             if (!m || !m->reported || m->gone || w.fleet.ended(id, part, e)) continue;
             auto& again = w.fleet.stopping[{id, e.task, e.attempt}];
             if (again.next > now) continue;
-            if (stops_under_way_ + stops.size() >= kMostUnderWay && !stops.contains(e.machine)) continue;
+            if (stops_in_flight_ + stops.size() >= kMostInFlight && !stops.contains(e.machine)) continue;
             auto& orders = stops[e.machine];
             if (orders.size() >= wire::kMaxOrders) continue;
             again.next = now + jitter(std::min(kLongestPause, kFirstPause * (1 << std::min(again.tries, 4))));
@@ -114,9 +116,9 @@
 }
 
 asio::awaitable<void> Controller::stop(core::MachineId machine, std::vector<wire::Order> orders) {
-  ++stops_under_way_;
+  ++stops_in_flight_;
   co_await send(machine, std::move(orders), {});
-  --stops_under_way_;
+  --stops_in_flight_;
 }
 
 void Controller::make_room(core::PartId part, const sched::Plan& plan, std::vector<sched::Demand>& demands,
--- a/src/app/peer_loop.cpp
+++ b/src/app/peer_loop.cpp
@@ -60,7 +60,7 @@
   explicit Detour(Controller& c) : controller_(c) {}
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body,
                                      std::chrono::milliseconds limit) override {
-    const auto member = controller_.member_with_news();
+    const auto member = controller_.member_in_touch_with_state();
     if (!member) {
       http::Answer nobody;
       nobody.status = 503;
@@ -77,10 +77,10 @@
 
 std::unique_ptr<http::Transport> Controller::detour() { return std::make_unique<Detour>(*this); }
 
-std::optional<std::size_t> Controller::member_with_news() const {
+std::optional<std::size_t> Controller::member_in_touch_with_state() const {
   const auto now = core::Steady::now();
   for (std::size_t i = 0; i < links_.size(); ++i)
-    if (core::since(member_news_[i], now) < kFreshNews) return i;
+    if (core::since(member_state_seen_[i], now) < kFreshNews) return i;
   return std::nullopt;
 }
 
@@ -92,10 +92,10 @@
   const auto message = frame ? peer::decode(*frame) : std::nullopt;
   if (const auto* pong = message ? std::get_if<peer::Pong>(&*message) : nullptr) {
     member_heard_[member] = core::Steady::now();
-    member_news_[member] = std::max(member_news_[member], sent - core::secs(pong->news_age_s));
+    member_state_seen_[member] = std::max(member_state_seen_[member], sent - core::secs(pong->news_age_s));
     world_.with([&](World& w) {
       for (const auto& c : pong->cancelled) take_cancelled(w, c);
-      if (pong->complete) w.member_told_at[member] = std::max(w.member_told_at[member], sent);
+      if (pong->complete) w.cancellations_heard_at[member] = std::max(w.cancellations_heard_at[member], sent);
     });
   }
 }
@@ -129,21 +129,21 @@
 
 // A help on top of the bound on old news, never instead of it: an owner that the state service refuses would
 // else go on with the job's tasks until its next read, and start others of them.
-void Controller::spread_cancellation(const std::string& id) {
+void Controller::announce_cancellation(const std::string& id) {
   const auto frame = world_.with([&](World& w) {
     const auto known = w.names.jobs.find(id);
     return known && w.mirror.job(*known) ? peer::encode(cancelled_record(w, *known)) : std::string();
   });
   // To members that don't answer each holds a socket for seconds; what is left out comes with the next ping.
-  constexpr std::size_t kMostUnderWay = 32;
-  if (frame.empty() || news_under_way_ >= kMostUnderWay) return;
+  constexpr std::size_t kMostInFlight = 32;
+  if (frame.empty() || announcements_in_flight_ >= kMostInFlight) return;
   for (std::size_t i = 0; i < links_.size(); ++i) asio::co_spawn(io_, spread(i, frame), asio::detached);
 }
 
 asio::awaitable<void> Controller::spread(std::size_t member, std::string frame) {
-  ++news_under_way_;
+  ++announcements_in_flight_;
   co_await links_[member]->call(std::move(frame), std::chrono::milliseconds(1500));
-  --news_under_way_;
+  --announcements_in_flight_;
 }
 
 // The member to relay a report to: the owner of the machine's part, when its worker was sent there a moment
--- a/src/app/ranges.cpp
+++ b/src/app/ranges.cpp
@@ -16,6 +16,35 @@
   return m.listed && m.status == "running";
 }
 
+// How many tasks of the job that zone may still take, by the ranges of its parts: a task has no entry but in
+// the part of its range, and one that moves has none at all, so what the ranges say covers what runs.
+std::uint32_t room_in_zone(const World& w, const jobs::JobRecord& job, core::PartId part) {
+  std::uint32_t there = 0;
+  for (const auto& range : job.ranges)
+    if (w.parts.zone(range.part) == w.parts.zone(part)) there += range.to - range.from;
+  const auto cap = job.spec.zone_cap();
+  return cap - std::min(cap, there);
+}
+
+// The part with most room for what waits, and how many of the tasks should go there.
+std::optional<std::pair<core::PartId, std::size_t>> best_part(World& w, const jobs::JobRecord& job,
+                                                              const sched::Demand& d, core::PartId from,
+                                                              bool whole, core::TimePoint now) {
+  std::optional<std::pair<core::PartId, std::size_t>> best;
+  double most = 0;
+  for (const auto& p : part_rooms(w, job.spec, now)) {
+    double spare = p.free - p.backlog;
+    // Within one zone a move changes nothing about `scatter`.
+    if (job.spec.spread && w.parts.zone(p.part) != w.parts.zone(from))
+      spare = std::min(spare, static_cast<double>(room_in_zone(w, job, p.part)));
+    const auto waiting = static_cast<double>(d.tasks.size());
+    if (p.part == from || !p.allowed || spare < (whole ? waiting : 1) || spare <= most) continue;
+    most = spare;
+    best.emplace(p.part, static_cast<std::size_t>(std::min(spare, waiting)));
+  }
+  return best;
+}
+
 }  // namespace
 
 const Load& current_load(World& w, core::TimePoint now) {
@@ -85,23 +114,15 @@
       if (!w.acting(part) || !job || job->status != jobs::Status::live || job->ranges.size() > 48) continue;
       const sched::TeamRoom room{used[d.team.v], w.s.teams[d.team.v].cpus_max, w.s.teams[d.team.v].gpus_max};
       if (!room.allows(d.gang ? d.need * static_cast<double>(d.tasks.size()) : d.need)) continue;
-      const bool whole = job->spec.gang || job->spec.one_zone;
+      const bool whole = job->spec.gang() || job->spec.one_zone;
       if (whole && w.mirror.placed(d.job) > 0) continue;
-      if (job->spec.spread && !job->spec.gang) continue;  // dealt across zones as it must be
       ++tries;
-      std::optional<sched::PartRoom> best;
-      for (const auto& p : part_rooms(w, job->spec, now)) {
-        const double spare = p.free - p.backlog;
-        if (p.part == part || !p.allowed || spare < (whole ? static_cast<double>(d.tasks.size()) : 1))
-          continue;
-        if (!best || spare > best->free - best->backlog) best = p;
-      }
+      const auto best = best_part(w, *job, d, part, whole, now);
       if (!best) continue;
-      auto count =
-          static_cast<std::size_t>(std::min(best->free - best->backlog, static_cast<double>(d.tasks.size())));
+      const auto count = best->second;
       jobs::JobRecord next = *job;
       if (whole) {
-        next.ranges = {{0, job->spec.tasks, best->part}};
+        next.ranges = {{0, job->spec.tasks, best->first}};
       } else {
         std::set<std::uint32_t> moved(d.tasks.end() - static_cast<std::ptrdiff_t>(count), d.tasks.end());
         next.ranges.clear();
@@ -110,11 +131,13 @@
             const bool goes = r.part == part && moved.contains(task);
             auto end = task + 1;
             while (end < r.to && (r.part == part && moved.contains(end)) == goes) ++end;
-            next.ranges.push_back({task, end, goes ? best->part : r.part});
+            next.ranges.push_back({task, end, goes ? best->first : r.part});
             task = end;
           }
         }
       }
+      auto value = jobs::to_json(next, w.names);
+      if (boost::json::serialize(value).size() > w.s.state_limits.value_bytes()) continue;
       const auto& job_name = w.names.jobs.name(d.job);
       const auto& part_name = w.names.parts.name(part);
       move.emplace();
@@ -122,9 +145,9 @@
       move->txn.when.push_back({state::keys::job(job_name), job->stamp});
       // A placement of ours that is still under way requires the job's record as it was.
       move->txn.when.push_back({state::keys::fence(part_name), w.mirror.fence(part)});
-      move->txn.then.push_back({state::keys::job(job_name), jobs::to_json(next, w.names)});
+      move->txn.then.push_back({state::keys::job(job_name), std::move(value)});
       move->text = fmt::format("moved job={} tasks={} from={} to={}", job_name, count, part_name,
-                               w.names.parts.name(best->part));
+                               w.names.parts.name(best->first));
     }
   });
   if (!move || !store_.spend(1, state::Store::For::records)) co_return;
--- a/src/app/rounds.cpp
+++ b/src/app/rounds.cpp
@@ -64,6 +64,14 @@
   n.free -= w.used_on(m.id);
   n.fetch_gb_per_s = flavor.fetch_gb_per_s;
   for (const auto& [image, _] : m.images) n.images.push_back(image);
+  std::set<core::ImageId> fetching;
+  for (const auto& placed : w.mirror.on_machine(m.id)) {
+    const auto* job = w.mirror.job(placed.job);
+    if (!job || job->status != jobs::Status::live) continue;
+    if (!m.holds(job->spec.image)) fetching.insert(job->spec.image);
+    if (job->spec.standing()) n.replicas.push_back(placed.job);
+  }
+  n.fetching = fetching.size();
   if (m.avoid_until > now) n.risk = 30;
   if (m.reserved_until > now) {
     n.reserved_for = m.reserved_for;
@@ -80,9 +88,9 @@
   const auto& spec = job.spec;
   sched::Demand d;
   // Until every task of its earlier attempt is gone, in whatever part, a gang can't start again.
-  if (spec.gang && w.mirror.placed(id) > 0) return std::nullopt;
-  d.tasks = waiting.first(part, spec.gang ? spec.tasks : kMostTasks);
-  if (d.tasks.empty() || (spec.gang && d.tasks.size() != spec.tasks)) return std::nullopt;
+  if (spec.gang() && w.mirror.placed(id) > 0) return std::nullopt;
+  d.tasks = waiting.first(part, spec.gang() ? spec.tasks : kMostTasks);
+  if (d.tasks.empty() || (spec.gang() && d.tasks.size() != spec.tasks)) return std::nullopt;
   d.count = waiting.count(part);
   d.job = id;
   d.job_stamp = job.stamp;
@@ -93,7 +101,8 @@
   d.need = spec.need;
   d.expect_s = spec.expect_s;
   d.priority = static_cast<int>(spec.priority);
-  d.gang = spec.gang;
+  d.gang = spec.gang();
+  d.standing = spec.standing();
   d.spot = spec.spot;
   d.types = spec.types;
   d.zone = spec.zone;
@@ -114,7 +123,7 @@
 
 }  // namespace
 
-bool Controller::look(World& w, RoundView& v, core::TimePoint now) {
+bool Controller::build_view(World& w, RoundView& v, core::TimePoint now) {
   if (!w.loaded || w.fleet.flavors.empty() || core::since(w.synced_at, now) > 2.0) return false;
   const double wall = core::wall_s();
   w.drop_settled();
@@ -192,7 +201,7 @@
   // this transaction has ended all the same.
   for (const auto& f : w.fleet.facts)
     if (f.part == part) writer.settle(f);
-  const auto most_conditions = static_cast<std::size_t>(4 * w.s.state_txn_ops);
+  const auto most_conditions = w.s.state_limits.most_conditions();
   const auto& part_name = w.names.parts.name(part);
   for (; at < all.size() && all[at].part == part; ++at) {
     const auto& p = all[at];
@@ -207,7 +216,10 @@
       if (m && !m->gone && !m->releasing) entries.push_back({task, attempt, machine, m->session});
     }
     if (entries.size() != p.tasks.size()) continue;
-    if (!writer.add(p.job, entries)) break;
+    if (!writer.add(p.job, entries)) {
+      if (!e.starts.empty()) break;  // in the next transaction
+      continue;                      // in another round, when less has to be written with it
+    }
     const auto& job_name = w.names.jobs.name(p.job);
     // Nothing starts of a job that is over, or whose range has moved.
     e.require(state::keys::job(job_name), job->stamp);
@@ -227,17 +239,18 @@
 }
 
 asio::awaitable<void> Controller::round() {
-  co_await raise_fences();
+  co_await move_fences();
   RoundView v;
   const auto now = core::Steady::now();
   backlog_.clear();
   backlog_part_.clear();
-  short_of_.clear();
-  if (!world_.with([&](World& w) { return look(w, v, now); })) co_return;
+  shortages_.clear();
+  if (!world_.with([&](World& w) { return build_view(w, v, now); })) co_return;
 
   const auto costs = sched::rank(v.queue, v.shares, v.usage,
                                  {tuning_.image_factor, tuning_.size_factor, tuning_.usage_factor});
   std::vector<Placing> placings;
+  const auto most_entries = PartWriter::most_entries(settings_.state_limits);
   for (auto& [part, view] : v.parts) {
     std::vector<sched::Demand> mine;
     std::vector<sched::Costs> mine_costs;
@@ -250,7 +263,9 @@
     // In the order of placing: what does not get into this round's transactions is what ranks lowest.
     std::map<std::size_t, std::size_t> placed_of;
     for (const auto& pl : plan.placements) {
-      if (placed_of[pl.demand]++ == 0)
+      // A large array is recorded in pieces that fit into one transaction; a gang starts as a whole.
+      const auto placed = placed_of[pl.demand]++;
+      if (placed == 0 || (!mine[pl.demand].gang && placed % most_entries == 0))
         placings.push_back({part,
                             view.token,
                             mine[pl.demand].job,
@@ -267,7 +282,7 @@
     }
     make_room(part, plan, mine, v, machines, now);
     if (spdlog::should_log(spdlog::level::debug)) log_round(part, plan, mine);
-    note_shortage(part, plan, mine, v.used);
+    collect_shortages(part, plan, mine, v.used);
     for (const auto i : plan.unplaced) {
       backlog_.push_back(std::move(mine[i]));
       backlog_part_.push_back(part);
@@ -323,12 +338,12 @@
     next_round_ = std::min(next_round_, core::Steady::now() + core::secs(0.4));
     sync_wake_.cancel();
     if (result.outcome != Outcome::unknown) continue;
-    fence_off(e.when);
+    require_new_fences(e.when);
     co_return;
   }
 }
 
-void Controller::fence_off(const std::vector<state::Condition>& when) {
+void Controller::require_new_fences(const std::vector<state::Condition>& when) {
   world_.with([&](World& w) {
     for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
       const auto key = state::keys::fence(w.names.parts.name(core::PartId{p}));
@@ -338,7 +353,7 @@
   });
 }
 
-asio::awaitable<void> Controller::raise_fences() {
+asio::awaitable<void> Controller::move_fences() {
   struct Raise {
     std::uint32_t part;
     state::Txn txn;
@@ -371,9 +386,9 @@
   }
 }
 
-void Controller::note_shortage(core::PartId part, const sched::Plan& plan,
-                               const std::vector<sched::Demand>& demands,
-                               const std::vector<core::Resources>& used) {
+void Controller::collect_shortages(core::PartId part, const sched::Plan& plan,
+                                   const std::vector<sched::Demand>& demands,
+                                   const std::vector<core::Resources>& used) {
   std::map<core::TeamId, core::Resources> more;
   for (const auto i : plan.unplaced) {
     const auto& d = demands[i];
@@ -397,7 +412,7 @@
     const core::TeamId team{t};
     Shortage s{part, team, plan.teams[t].used, {}, used[t]};
     if (const auto m = more.find(team); m != more.end()) s.more = m->second;
-    short_of_.push_back(s);
+    shortages_.push_back(s);
   }
 }
 
@@ -412,7 +427,7 @@
       auto allowances = w.allowances(team);
       bool changed = false;
       Edit e;
-      for (const auto& s : short_of_) {
+      for (const auto& s : shortages_) {
         if (s.team != team || !w.acting(s.part) || w.fence_due[s.part.v]) continue;
         const auto before = allowances.wish(s.part);
         // What the team uses in all parts together is near its limit: nobody has anything to give.
@@ -460,7 +475,7 @@
     state::Txn txn{e.when, std::move(e.then)};
     const auto result = co_await commit(std::move(txn));
     // Applied late, it would take away an allowance that is in use by then.
-    if (result.outcome == Outcome::unknown) fence_off(e.when);
+    if (result.outcome == Outcome::unknown) require_new_fences(e.when);
   }
 }
 
--- a/src/app/users.cpp
+++ b/src/app/users.cpp
@@ -26,16 +26,26 @@
       if (!s.zone || zone == *s.zone) zones.insert(zone);
   }
   if (zones.empty()) return "a task fits no allowed machine type";
-  const double n = spec.gang ? spec.tasks : 1;
+  const double n = spec.needs_all_tasks() ? spec.tasks : 1;
   const sched::TeamRoom empty{{}, team->cpus_max, team->gpus_max};
   if (!empty.allows(spec.need * n)) return "the job needs more than its team's limit";
-  if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1)
+  if (spec.needs_all_tasks() && spec.one_zone && spec.spread && spec.tasks > 1)
     return "together and scatter exclude each other";
-  if (spec.gang && spec.spread && spec.tasks > 1 && zones.size() < 2)
+  if (spec.needs_all_tasks() && spec.spread && spec.tasks > 1 && zones.size() < 2)
     return "scatter needs a second zone that allows its tasks";
+  if (spec.gang() && spec.tasks > PartWriter::most_entries(w.s.state_limits))
+    return "pieces: more than can be recorded to start together";
   return std::nullopt;
 }
 
+// The field of the protocol that takes most of the job's record.
+const char* longest_field(const wire::Submission& s) {
+  std::size_t types = 0;
+  if (s.types)
+    for (const auto& t : *s.types) types += t.size();
+  return types > s.image.size() ? "racks" : "plate";
+}
+
 }  // namespace
 
 asio::awaitable<http::Response> Controller::handle(http::Request request) {
@@ -99,16 +109,16 @@
   if (world_.with([&](World& w) { return w.loaded && core::since(w.synced_at, now) < kFresh; })) return true;
   const bool alone = std::none_of(member_heard_.begin(), member_heard_.end(),
                                   [&](core::TimePoint t) { return core::since(t, now) < kHeard; });
-  return !member_with_news() && !(alone && !links_.empty());
+  return !member_in_touch_with_state() && !(alone && !links_.empty());
 }
 
 // Nothing can be proved or recorded at present, directly or through a member: that is said at once.
-bool Controller::without_news() {
+bool Controller::out_of_touch_with_state() {
   constexpr double kPatience = 2.0;
   const auto now = core::Steady::now();
   const bool stale =
       world_.with([&](World& w) { return !w.loaded || core::since(w.synced_at, now) > kPatience; });
-  return stale && !member_with_news();
+  return stale && !member_in_touch_with_state();
 }
 
 asio::awaitable<http::Response> Controller::query(const std::string& id) {
@@ -120,7 +130,7 @@
     return job && job->status != jobs::Status::live ? known : std::nullopt;
   });
   if (final_id) co_return status_of(*final_id);
-  if (without_news()) co_return later("no news from the state service");
+  if (out_of_touch_with_state()) co_return later("no news from the state service");
   if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
     co_return later("state unknown");
   const auto known = world_.with([&](World& w) { return w.names.jobs.find(id); });
@@ -133,7 +143,7 @@
   if (const auto* bad = std::get_if<wire::Malformed>(&parsed)) co_return error(400, bad->why);
   auto& s = std::get<wire::Submission>(parsed);
 
-  enum class Next { known, never, undecided, go };
+  enum class Next { known, never, undecided, too_early, go };
   std::string why;
   state::Txn txn;
   const Next next = world_.with([&](World& w) {
@@ -143,6 +153,7 @@
       why = *never;
       return Next::never;
     }
+    if (s.spec.standing() && !w.all_members_know(state::kStandingJobs)) return Next::too_early;
     auto& spec = s.spec;
     spec.lane = w.names.lanes.intern(s.lane);
     spec.team = *w.names.teams.find(s.team);
@@ -160,14 +171,21 @@
     // Those that come in the next moment see that these wait too.
     for (const auto& r : record.ranges)
       w.load.waiting.at(r.part.v) += spec.need * static_cast<double>(r.to - r.from);
+    auto value = jobs::to_json(record, w.names);
+    if (boost::json::serialize(value).size() > w.s.state_limits.value_bytes()) {
+      why = std::string(longest_field(s)) + ": too long to be recorded";
+      return Next::never;
+    }
     txn.when.push_back({state::keys::job(s.id), 0});
-    txn.then.push_back({state::keys::job(s.id), jobs::to_json(record, w.names)});
+    txn.then.push_back({state::keys::job(s.id), std::move(value)});
     return Next::go;
   });
   // 422 and 400 are final to the user, so they are only given when this node is sure that the job is not
   // known.
   if (next == Next::undecided) co_return later("not ready to decide");
-  if (without_news()) co_return later("no news from the state service");
+  // A controller of an earlier version would take the replicas for tasks that end.
+  if (next == Next::too_early) co_return later("standing jobs wait for the upgrade of all controllers", 5);
+  if (out_of_touch_with_state()) co_return later("no news from the state service");
   if (next == Next::never) {
     if (!co_await barrier(core::Steady::now() + std::chrono::milliseconds(1200)))
       co_return later("state unknown");
@@ -180,7 +198,8 @@
   const auto result = co_await commit(std::move(txn));
   switch (result.outcome) {
     case Outcome::done:
-      spdlog::info("accepted job={} team={} tasks={} gang={}", s.id, s.team, s.spec.tasks, s.spec.gang);
+      spdlog::info("accepted job={} team={} tasks={} shape={}", s.id, s.team, s.spec.tasks,
+                   jobs::name_of(s.spec.shape));
       co_return http::Response{201, wire::render_status(s.id, "pending")};
     case Outcome::conflict:
       co_return co_await query(s.id);
@@ -217,14 +236,14 @@
       return Next::go;
     });
     if (next == Next::final) co_return status_of(job_id);
-    if (without_news()) co_return later("no news from the state service");
+    if (out_of_touch_with_state()) co_return later("no news from the state service");
     if (next == Next::go) {
       // Not held up by the write budget: cancellations must not be starved by anything.
       store_.spend(1, state::Store::For::users);
       const auto result = co_await commit(std::move(txn));
       if (result.outcome == Outcome::done) {
         spdlog::info("cancelled job={}", id);
-        spread_cancellation(id);
+        announce_cancellation(id);
         co_return status_of(job_id);
       }
       if (result.outcome == Outcome::refused) co_return later("state service refuses");
@@ -252,7 +271,7 @@
       if (!elsewhere) return later("no owner");
       return http::Response{421, wire::render_moved(owner)};
     }
-    if (!w.news_fresh(now)) return later("no news from the state service");
+    if (!w.may_renew_leases(now)) return later("no news from the state service");
     // A late copy, or the cloud is slower than its answer: it does not bring the machine back.
     if (w.fleet.was_deleted(w.names, r.machine)) return later("machine was returned");
     auto& m = w.fleet.intern(w.names, r.machine);
--- a/src/app/waiting.cpp
+++ b/src/app/waiting.cpp
@@ -9,8 +9,10 @@
   if (!any_) return;
   busy_.assign(tasks, false);
   mirror.each_run(id, [&](core::PartId, const jobs::RunRecord& run) {
-    for (const auto& [from, to] : run.done.spans())
-      std::fill(busy_.begin() + std::min(from, tasks), busy_.begin() + std::min(to, tasks), true);
+    // A replica that has ended runs again, whatever an earlier version may have recorded of it.
+    if (!job_->spec.standing())
+      for (const auto& [from, to] : run.done.spans())
+        std::fill(busy_.begin() + std::min(from, tasks), busy_.begin() + std::min(to, tasks), true);
     for (const auto& e : run.entries)
       if (e.task < tasks) busy_[e.task] = true;
   });
--- a/src/app/world.cpp
+++ b/src/app/world.cpp
@@ -20,7 +20,7 @@
       usage(parts.size(),
             ledger::UsageWindows(settings.teams.size(), tuning.window_s, tuning.windows, tuning.decay)),
       usage_from(parts.size(), 0),
-      member_told_at(settings.members.size()),
+      cancellations_heard_at(settings.members.size()),
       owner_missing_since(parts.size()),
       fence_due(parts.size(), 0),
       fenced_at(parts.size(), 0),
@@ -63,7 +63,7 @@
     used[part.v][job->spec.team.v] += job->spec.need * static_cast<double>(run.entries.size());
   });
   for (const auto& f : fleet.facts) {
-    // Told as done and as gone: one entry all the same.
+    // Reported as done and as gone: one entry all the same.
     if (f.done && fleet.facts.contains({f.job, f.part, f.task, f.attempt, false})) continue;
     const auto* job = mirror.job(f.job);
     if (job && job->spec.team.v < s.teams.size() && mirror.has_entry(f.job, f.part, f.task, f.attempt))
@@ -145,7 +145,7 @@
 
 bool World::usable(const worker::Machine& m, core::TimePoint now) const {
   return m.reported && m.token == token(m.part) && !m.notice_s && !m.sick && !m.releasing && !m.gone &&
-         !m.deaf() && m.strangers == 0 &&
+         !m.deaf() && m.unrecorded_tasks == 0 &&
          // A new owner has its answers to the new token before the worker comes by itself.
          core::since(std::max(m.last_report, acting_since.at(m.part.v)), now) < 2.5 * s.report_s + 1.0;
 }
--- a/src/app/writer_loop.cpp
+++ b/src/app/writer_loop.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 
 #include "app/controller.hpp"
 
@@ -10,6 +11,26 @@
 
 namespace json = boost::json;
 
+namespace {
+
+// Newest windows first; the oldest, which count least, are left out if all of them are too long for one
+// value.
+json::value usage_record(const ledger::UsageWindows& usage, std::size_t most_bytes) {
+  constexpr std::size_t kFrame = 48;
+  std::size_t bytes = kFrame;
+  json::array windows;
+  for (const auto& window : usage.windows()) {
+    json::array values;
+    for (const double v : window) values.push_back(static_cast<std::int64_t>(std::llround(v)));
+    bytes += json::serialize(values).size() + 1;
+    if (bytes > most_bytes) break;
+    windows.push_back(std::move(values));
+  }
+  return json::object{{"i", usage.index()}, {"w", std::move(windows)}};
+}
+
+}  // namespace
+
 asio::awaitable<void> Controller::writer_loop() {
   boost::system::error_code ec;
   core::TimePoint next_usage{};
@@ -65,17 +86,11 @@
     for (std::uint32_t p = 0; p < w.parts.size(); ++p) {
       const core::PartId part{p};
       if (!w.acting(part) || w.usage_from[p] != w.token(part)) continue;
-      json::array windows;
-      for (const auto& window : w.usage[p].windows()) {
-        json::array values;
-        for (const double v : window) values.push_back(std::round(v));
-        windows.push_back(std::move(values));
-      }
       const auto& name = w.names.parts.name(part);
       state::Txn txn;
       txn.when.push_back({state::keys::part(name), w.token(part)});
       txn.then.push_back(
-          {state::keys::usage(name), json::object{{"i", w.usage[p].index()}, {"w", std::move(windows)}}});
+          {state::keys::usage(name), usage_record(w.usage[p], w.s.state_limits.value_bytes())});
       txns.push_back(std::move(txn));
     }
   });
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -51,6 +51,32 @@
   return *ep;
 }
 
+// The fields of one table; those that are missing keep the values of `present`.
+StateLimits state_limits_in(View table, const std::string& where, const StateLimits& present) {
+  StateLimits limits;
+  limits.requests_per_s = number(table, "rps", where, present.requests_per_s, 1, 1e6);
+  limits.changes_per_s = number(table, "write_rps", where, present.changes_per_s, 1, 1e6);
+  limits.value_kb = number(table, "value_kb", where, present.value_kb, 1, 1e6);
+  limits.transaction_changes =
+      static_cast<int>(number(table, "txn_ops", where, present.transaction_changes, 4, 1e6));
+  return limits;
+}
+
+StateLimits state_limits(View table) {
+  const std::string where = "deployment.state.";
+  const auto present = state_limits_in(table, where, {});
+  const View announced = table["next"];
+  if (!announced) return present;
+  if (!announced.is_table()) throw SettingsError(where + "next", shown(announced), "a table is needed");
+  const auto next = state_limits_in(announced, where + "next.", present);
+  StateLimits smaller;
+  smaller.requests_per_s = std::min(present.requests_per_s, next.requests_per_s);
+  smaller.changes_per_s = std::min(present.changes_per_s, next.changes_per_s);
+  smaller.value_kb = std::min(present.value_kb, next.value_kb);
+  smaller.transaction_changes = std::min(present.transaction_changes, next.transaction_changes);
+  return smaller;
+}
+
 }  // namespace
 
 std::optional<Endpoint> parse_endpoint(const std::string& text) {
@@ -140,14 +166,10 @@
   s.gang_peer_s = number(w, "gang_peer_s", "deployment.workers.", s.gang_peer_s, 0, 86400);
   s.cancel_s = number(w, "cancel_s", "deployment.workers.", s.cancel_s, 0.1, 86400);
   // Nearer, no owner could answer a worker without risking that a cancelled task outlives cancel_s.
-  if (s.oldest_news_s() < 1)
+  if (s.renewal_window_s() < 1)
     throw SettingsError("deployment.workers.cancel_s", fmt::format("{}", s.cancel_s),
                         fmt::format("too near lease_s = {}", s.lease_s));
-  View st = d["state"];
-  s.state_rps = number(st, "rps", "deployment.state.", s.state_rps, 1, 1e6);
-  s.state_write_rps = number(st, "write_rps", "deployment.state.", s.state_write_rps, 1, 1e6);
-  s.state_value_kb = number(st, "value_kb", "deployment.state.", s.state_value_kb, 1, 1e6);
-  s.state_txn_ops = static_cast<int>(number(st, "txn_ops", "deployment.state.", s.state_txn_ops, 4, 1e6));
+  s.state_limits = state_limits(d["state"]);
   View c = d["cloud"];
   s.cloud_rps = number(c, "rps", "deployment.cloud.", s.cloud_rps, 0.1, 1e6);
   s.cloud_list_lag_s = number(c, "list_lag_s", "deployment.cloud.", s.cloud_list_lag_s, 0, 3600);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -1,6 +1,8 @@
 // The platform's settings file (TOML) and the operators' own properties.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <stdexcept>
@@ -42,6 +44,25 @@
   double share = 0;
 };
 
+// What the state service takes. All of it is computed here once; nothing else reads the settings' own fields.
+struct StateLimits {
+  double requests_per_s = 100;
+  double changes_per_s = 20;  // puts and deletes
+  double value_kb = 8;        // of one value
+  int transaction_changes = 16;
+
+  // What one value may hold, with a reserve for what its size was not computed from.
+  [[nodiscard]] std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024 * 0.95); }
+  [[nodiscard]] std::size_t most_changes() const { return static_cast<std::size_t>(transaction_changes); }
+  [[nodiscard]] std::size_t most_conditions() const { return 4 * most_changes(); }
+  // Most values of full size that one transaction may hold: its body is limited too.
+  [[nodiscard]] std::size_t most_full_values() const {
+    constexpr double kBodyKb =
+        40;  // of the 64 that the protocol allows, besides conditions and one more value
+    return std::max<std::size_t>(1, static_cast<std::size_t>(kBodyKb / value_kb));
+  }
+};
+
 struct Settings {
   std::string label;
   std::string zone;
@@ -56,8 +77,8 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 3, lease_s = 30, gang_wait_s = 40, gang_peer_s = 6, cancel_s = 60;
-  double state_rps = 100, state_write_rps = 20, state_value_kb = 8;
-  int state_txn_ops = 16;
+  // The smaller of the present limits and of those announced in `state.next`, whose moment is unknown.
+  StateLimits state_limits;
   double cloud_rps = 5, cloud_list_lag_s = 5;
   double core_share = 1, ram_mb = 0;
   int max_sockets = 1000;
@@ -65,7 +86,7 @@
   // How old an owner's news may be while it still answers workers. A job may have been cancelled elsewhere
   // the moment after; a worker that is answered last keeps its tasks for another lease, counted from its
   // report. 1% of a lease is for drift, the rest for what is not foreseen.
-  [[nodiscard]] double oldest_news_s() const { return cancel_s - lease_s * 1.01 - 3.0; }
+  [[nodiscard]] double renewal_window_s() const { return cancel_s - lease_s * 1.01 - 3.0; }
 };
 
 Settings load_settings(const std::string& path);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,7 +1,7 @@
 #include "jobs/job.hpp"
 
+#include <algorithm>
 #include <map>
-#include <set>
 #include <stdexcept>
 
 namespace finchrun::jobs {
@@ -9,6 +9,11 @@
 
 std::uint64_t whole(const json::value& v) { return v.to_number<std::uint64_t>(); }
 
+// Marks a standing job in its record, in the place of the expected run time. Earlier versions rewrite a
+// record with the fields they know and drop all others, so a field of its own would be lost when one of them
+// moves the job's ranges, and its replicas would be taken for tasks that end.
+constexpr double kStandingMark = -1;
+
 constexpr std::pair<Priority, const char*> kPriorities[] = {{Priority::idle, "idle"},
                                                             {Priority::normal, "normal"},
                                                             {Priority::high, "high"},
@@ -22,6 +27,17 @@
   return "normal";
 }
 
+const char* name_of(Shape s) {
+  switch (s) {
+    case Shape::gang:
+      return "gang";
+    case Shape::standing:
+      return "standing";
+    default:
+      return "array";
+  }
+}
+
 std::optional<Priority> priority_from(std::string_view s) {
   for (const auto& [value, name] : kPriorities)
     if (s == name) return value;
@@ -42,7 +58,7 @@
   o["st"] = "live";
   o["lane"] = names.lanes.name(s.lane);
   o["team"] = names.teams.name(s.team);
-  o["gang"] = s.gang;
+  o["gang"] = s.gang();
   o["pri"] = name_of(s.priority);
   o["n"] = s.tasks;
   o["need"] = json::array{s.need.cpus, s.need.gpus, s.need.ram_gb};
@@ -57,7 +73,7 @@
   o["onez"] = s.one_zone;
   o["sprd"] = s.spread;
   o["spot"] = s.spot;
-  o["exp"] = s.expect_s;
+  o["exp"] = s.standing() ? kStandingMark : s.expect_s;
   o["ckpt"] = s.checkpoint_s;
   o["save"] = s.save_s;
   if (s.due_s) o["due"] = *s.due_s;
@@ -83,7 +99,7 @@
     return r;
   }
   s.lane = names.lanes.intern(o.at("lane").as_string());
-  s.gang = o.at("gang").as_bool();
+  s.shape = o.at("gang").as_bool() ? Shape::gang : Shape::array;
   s.priority = priority_from(o.at("pri").as_string()).value();
   s.image = names.images.intern(o.at("img").as_string());
   s.image_gb = o.at("gb").to_number<double>();
@@ -96,6 +112,10 @@
   s.spread = o.at("sprd").as_bool();
   s.spot = o.at("spot").as_bool();
   s.expect_s = o.at("exp").to_number<double>();
+  if (s.expect_s < 0) {
+    s.shape = Shape::standing;
+    s.expect_s = kNoEnd;
+  }
   s.checkpoint_s = o.at("ckpt").to_number<double>();
   s.save_s = o.at("save").to_number<double>();
   if (const auto* due = o.if_contains("due")) s.due_s = due->to_number<double>();
@@ -148,11 +168,20 @@
 }
 
 std::size_t bytes_at_most(const RunRecord& r, const Names& names) {
-  constexpr std::size_t kFrame = 48, kSpan = 16, kGroup = 26, kTask = 8, kGrowth = 8;
-  std::set<std::pair<std::uint64_t, core::MachineId>> groups;
-  std::size_t bytes = kFrame + kSpan * r.done.spans().size() + (kTask + kGrowth) * r.entries.size();
-  for (const auto& e : r.entries)
-    if (groups.insert({e.attempt, e.machine}).second) bytes += kGroup + names.machines.name(e.machine).size();
+  // Of the record's text: [12345,12346], for what is done; ["name",1234,[12345]], for a machine's first task,
+  // which leaves less than that behind when it ends; for each task more what it becomes then; [123456789,[]],
+  // for an attempt.
+  constexpr std::size_t kFrame = 48, kSpan = 14, kMachine = 20, kTaskMore = kSpan, kAttempt = 15;
+  std::size_t bytes = kFrame + kSpan * r.done.spans().size();
+  std::vector<std::pair<std::uint64_t, core::MachineId>> groups;
+  groups.reserve(r.entries.size());
+  for (const auto& e : r.entries) groups.emplace_back(e.attempt, e.machine);
+  std::sort(groups.begin(), groups.end());
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    if (i == 0 || groups[i].first != groups[i - 1].first) bytes += kAttempt;
+    const bool first = i == 0 || groups[i] != groups[i - 1];
+    bytes += first ? kMachine + names.machines.name(groups[i].second).size() : kTaskMore;
+  }
   return bytes;
 }
 
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/json.hpp>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,10 +30,19 @@
 
 enum class Priority { idle = 0, normal = 1, high = 2, prod = 3 };
 
+enum class Shape {
+  array,     // independent tasks, each runs to completion
+  gang,      // all tasks run at the same time, or none does
+  standing,  // replicas that run until the job is cancelled; one that ends runs again
+};
+
+// The expected run time of what has no end in sight.
+inline constexpr double kNoEnd = std::numeric_limits<double>::infinity();
+
 struct JobSpec {
   core::LaneId lane;
   core::TeamId team;
-  bool gang = false;
+  Shape shape = Shape::array;
   Priority priority = Priority::normal;
   std::uint32_t tasks = 1;
   core::Resources need;
@@ -43,12 +53,16 @@
   bool one_zone = false;
   bool spread = false;
   bool spot = false;
-  double expect_s = 0;
+  double expect_s = 0;  // the owner's estimate of a task's run time; `kNoEnd` for a standing job
   double checkpoint_s = 0;
   double save_s = 0;
   std::optional<double> due_s;
   double submitted_s = 0;  // time of day
 
+  [[nodiscard]] bool gang() const { return shape == Shape::gang; }
+  [[nodiscard]] bool standing() const { return shape == Shape::standing; }
+  // All of its tasks have to run at the same time to be of full use.
+  [[nodiscard]] bool needs_all_tasks() const { return shape != Shape::array; }
   [[nodiscard]] bool allows_type(core::TypeId t) const {
     return !types || std::find(types->begin(), types->end(), t) != types->end();
   }
@@ -99,12 +113,13 @@
 // Bytes that the record takes in its shard at most, however its tasks end.
 std::size_t bytes_at_most(const RunRecord& r, const Names& names);
 // The same for one entry more, on a machine that the record does not name yet.
-inline constexpr std::size_t kEntryBytes = 64;
+inline constexpr std::size_t kEntryBytes = 48;
 // These throw on records that make no sense: they are ours, so that is a bug or a newer version.
 JobRecord job_from_json(const json::value& v, Names& names);
 RunRecord run_from_json(const json::value& v, Names& names);
 
 const char* name_of(Priority p);
+const char* name_of(Shape s);
 std::optional<Priority> priority_from(std::string_view s);
 
 }  // namespace finchrun::jobs
--- a/src/sched/deal.cpp
+++ b/src/sched/deal.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 namespace finchrun::sched {
 namespace {
@@ -26,7 +27,7 @@
     if (p.allowed) open.push_back(p);
   if (open.empty()) open = parts;
 
-  if (spec.gang || spec.one_zone) {
+  if (spec.gang() || spec.one_zone) {
     const auto best = std::max_element(open.begin(), open.end(), [&](const PartRoom& a, const PartRoom& b) {
       return suits(a, spec.tasks) < suits(b, spec.tasks);
     });
@@ -36,8 +37,8 @@
   std::map<core::PartId, std::uint32_t> share;
   std::map<core::ZoneId, std::uint32_t> in_zone;
   std::uint32_t left = spec.tasks;
-  const auto grant = [&](const PartRoom& p, double wish) {
-    const auto cap = spec.zone_cap() - std::min(spec.zone_cap(), in_zone[p.zone]);
+  const auto grant = [&](const PartRoom& p, double wish, std::uint32_t most_in_zone) {
+    const auto cap = most_in_zone - std::min(most_in_zone, in_zone[p.zone]);
     const auto n = std::min({left, cap, static_cast<std::uint32_t>(std::max(0.0, std::floor(wish)))});
     share[p.part] += n;
     in_zone[p.zone] += n;
@@ -46,12 +47,21 @@
   std::sort(open.begin(), open.end(), [&](const PartRoom& a, const PartRoom& b) {
     return suits(a, spec.tasks) > suits(b, spec.tasks);
   });
-  for (const auto& p : open) grant(p, p.free - p.backlog);
+  // A zone that is lost should take no more replicas along than it must.
+  if (spec.standing() && spec.spread) {
+    std::set<core::ZoneId> zones;
+    for (const auto& p : open) zones.insert(p.zone);
+    const auto even = (spec.tasks + static_cast<std::uint32_t>(zones.size()) - 1) / zones.size();
+    for (const auto& p : open)
+      grant(p, p.free - p.backlog, std::min(spec.zone_cap(), static_cast<std::uint32_t>(even)));
+  }
+  for (const auto& p : open) grant(p, p.free - p.backlog - share[p.part], spec.zone_cap());
   double capacity = 0;
   for (const auto& p : open) capacity += std::max(1.0, p.capacity);
   const std::uint32_t rest = left;
-  for (const auto& p : open) grant(p, std::ceil(rest * std::max(1.0, p.capacity) / capacity));
-  for (const auto& p : open) grant(p, left);
+  for (const auto& p : open)
+    grant(p, std::ceil(rest * std::max(1.0, p.capacity) / capacity), spec.zone_cap());
+  for (const auto& p : open) grant(p, left, spec.zone_cap());
   // `spread` in a deployment with too few zones: what no zone may take waits in the first part.
   if (left > 0) share[open.front().part] += left;
 
--- a/src/sched/place.cpp
+++ b/src/sched/place.cpp
@@ -32,10 +32,24 @@
   return lane.need.fits(n.size);
 }
 
+// Beside what any task costs: a replica is small and is expected within seconds, so the fetch outweighs the
+// room it takes; and one machine that is lost should not take several replicas of a job along.
+double replica_cost(const Demand& d, const Node& n) {
+  constexpr double kFetchWeight = 10, kTogether = 50;
+  double cost = 0;
+  if (!holds(n, d.image)) {
+    const double alone_s = d.image_gb / std::max(n.fetch_gb_per_s, 0.01);
+    cost += kFetchWeight * alone_s * static_cast<double>(1 + n.fetching);
+  }
+  if (std::find(n.replicas.begin(), n.replicas.end(), d.job) != n.replicas.end()) cost += kTogether;
+  return cost;
+}
+
 // What starting the task here costs, in seconds and their like: the fetch, the machine's risk, and the scarce
 // room used up. Lower is better.
 double cost_here(const Demand& d, const Node& n) {
   double cost = n.risk;
+  if (d.standing) cost += replica_cost(d, n);
   if (!holds(n, d.image)) cost += 2 + d.image_gb / std::max(n.fetch_gb_per_s, 0.01);
   // Ordinary machines are kept for those that may not use spot machines.
   if (d.spot && !n.spot) cost += 3;
@@ -72,8 +86,10 @@
     heap_.pop_back();
     Node& n = nodes_[i];
     n.free -= d_.need;
+    if (d_.standing) n.replicas.push_back(d_.job);
     if (!holds(n, d_.image)) {
       n.images.push_back(d_.image);
+      ++n.fetching;
       fetching_.push_back(i);
     }
     if (d_.need.fits(n.free)) {
@@ -85,7 +101,10 @@
   // Gives back what was taken: a gang that does not fit as a whole starts nothing.
   void undo(const std::vector<std::size_t>& taken) {
     for (const auto i : taken) nodes_[i].free += d_.need;
-    for (const auto i : fetching_) nodes_[i].images.pop_back();
+    for (const auto i : fetching_) {
+      nodes_[i].images.pop_back();
+      --nodes_[i].fetching;
+    }
   }
 
  private:
--- a/src/sched/place.hpp
+++ b/src/sched/place.hpp
@@ -19,6 +19,8 @@
   core::Resources size;
   core::Resources free;
   std::vector<core::ImageId> images;  // cached, or being fetched
+  std::size_t fetching = 0;           // images that are being fetched now: they share the rate
+  std::vector<core::JobId> replicas;  // standing jobs with a task here
   double fetch_gb_per_s = 1;
   std::vector<double> wanted;  // by lane: how much the lane needs machines like this one
   core::JobId reserved_for;    // room is kept here for this job: others only while they end in time
@@ -35,6 +37,7 @@
   core::Resources need;
   int priority = 0;
   bool gang = false;
+  bool standing = false;  // replicas without an end in sight
   bool spot = false;
   std::optional<std::vector<core::TypeId>> types;
   std::optional<core::ZoneId> zone;
--- a/src/sched/preempt.cpp
+++ b/src/sched/preempt.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <unordered_map>
 
+#include "jobs/job.hpp"
+
 namespace finchrun::sched {
 namespace {
 
@@ -243,6 +245,7 @@
       };
       add(0);
       for (const auto i : ends) {
+        if (running[i].left_s == jobs::kNoEnd) break;  // this room never comes free by itself
         free += running[i].need;
         add(running[i].left_s);
       }
--- a/src/sched/preempt.hpp
+++ b/src/sched/preempt.hpp
@@ -19,7 +19,7 @@
   bool gang = false;
   bool within = false;  // of a job within its team's guarantee
   double loss_s = 0;    // work lost and time spent if it is stopped now
-  double left_s = 0;    // how long it is expected to go on
+  double left_s = 0;    // how long it is expected to go on; `jobs::kNoEnd` for a replica
 };
 
 struct TeamClaim {
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -32,7 +32,7 @@
   for (const auto& item : items) {
     const auto gone = std::erase_if(
         run.entries, [&](const jobs::Entry& e) { return e.task == item.task && e.attempt == item.attempt; });
-    // Told first as gone and then as done: it is done all the same.
+    // Reported first as gone and then as done: it is done all the same.
     const auto before = run.done.size();
     run.done.add(item.done.first, item.done.second);
     changed = changed || gone > 0 || run.done.size() != before;
@@ -77,7 +77,7 @@
         at.job = {};
         at.known = false;
         live_.erase(id);
-        note_to_be_gone(id);
+        update_cancelled_with_tasks(id);
         return;
       }
       at.job = jobs::job_from_json(*e.value, names_);
@@ -88,7 +88,7 @@
       } else {
         live_.erase(id);
       }
-      note_to_be_gone(id);
+      update_cancelled_with_tasks(id);
       if (at.job.status == jobs::Status::cancelled) {
         constexpr std::size_t kMostKept = 4096;
         cancelled_.emplace(e.stamp, id);
@@ -118,7 +118,8 @@
       if (gone) {
         members_.erase(std::string(rest));
       } else {
-        slot = {whole(e.value->at("inc")), e.stamp};
+        const auto* level = e.value->as_object().if_contains("level");
+        slot = {whole(e.value->at("inc")), e.stamp, level ? whole(*level) : 0};
       }
     } else if (table == "teams") {
       const auto team = names_.teams.find(rest);
@@ -178,7 +179,7 @@
   unreadable_parts_.clear();
   live_.clear();
   unreadable_.clear();
-  to_be_gone_.clear();
+  cancelled_with_tasks_.clear();
   cancelled_.clear();
   cancelled_from_ = 0;
   on_machine_.clear();
@@ -201,7 +202,7 @@
   const auto [at, fresh] = shard_ids_.try_emplace({part, name});
   if (fresh) {
     at->second = core::ShardId{static_cast<std::uint32_t>(shards_.size())};
-    shards_.push_back({part, name, 0, {}});
+    shards_.push_back({part, name, 0, {}, 0, false});
   }
   const auto id = at->second;
   if (e.stamp <= shards_[id.v].stamp) return;
@@ -216,13 +217,16 @@
   const auto before = std::move(shard.jobs);
   shard.jobs.clear();
   shard.stamp = e.value ? e.stamp : 0;
+  shard.bytes = 0;
+  shard.needs_ends = false;
   const auto& ends = ends_[part.v].shards;
   const auto ended = ends.find(name);
   for (auto& [job, run] : next) {
     shard.jobs.push_back(job);
     if (ended != ends.end())
       if (const auto items = ended->second.find(job); items != ended->second.end())
-        settle(run, items->second);
+        shard.needs_ends |= settle(run, items->second);
+    shard.bytes += jobs::bytes_at_most(run, names_);
     put_piece(job, id, std::move(run));
   }
   std::sort(shard.jobs.begin(), shard.jobs.end());
@@ -250,7 +254,12 @@
       const auto* before = run(job, *shard);
       if (!before) continue;
       auto run = *before;
-      if (settle(run, items)) put_piece(job, *shard, std::move(run));
+      if (!settle(run, items)) continue;
+      auto& written = shards_[shard->v];
+      written.needs_ends = true;
+      written.bytes += jobs::bytes_at_most(run, names_);
+      written.bytes -= jobs::bytes_at_most(*before, names_);
+      put_piece(job, *shard, std::move(run));
     }
   }
 }
@@ -285,7 +294,7 @@
     at.done += p.run.done.size();
     at.placed += static_cast<std::uint32_t>(p.run.entries.size());
   }
-  note_to_be_gone(id);
+  update_cancelled_with_tasks(id);
 }
 
 std::optional<std::vector<core::JobId>> Mirror::cancelled_after(std::uint64_t epoch) const {
@@ -296,12 +305,12 @@
   return out;
 }
 
-void Mirror::note_to_be_gone(core::JobId id) {
+void Mirror::update_cancelled_with_tasks(core::JobId id) {
   const auto& at = slots_[id.v];
   if (at.known && at.job.status == jobs::Status::cancelled && at.placed > 0) {
-    to_be_gone_.insert(id);
+    cancelled_with_tasks_.insert(id);
   } else {
-    to_be_gone_.erase(id);
+    cancelled_with_tasks_.erase(id);
   }
 }
 
@@ -348,7 +357,9 @@
   return id.v < slots_.size() && slots_[id.v].known ? &slots_[id.v].job : nullptr;
 }
 
-std::uint32_t Mirror::done(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].done : 0; }
+std::uint32_t Mirror::done(core::JobId id) const {
+  return id.v < slots_.size() && !slots_[id.v].job.spec.standing() ? slots_[id.v].done : 0;
+}
 
 std::uint32_t Mirror::placed(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].placed : 0; }
 
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -17,9 +17,15 @@
 
 namespace finchrun::state {
 
+// What a controller's build can do with the records, said in its member record. Builds from before this said
+// nothing, which is level 0.
+inline constexpr std::uint64_t kStandingJobs = 1;
+inline constexpr std::uint64_t kRecordLevel = kStandingJobs;
+
 struct Member {
   std::uint64_t incarnation = 0;
   std::uint64_t stamp = 0;
+  std::uint64_t level = 0;
 };
 struct Claim {
   std::string owner;  // label; empty: nobody yet
@@ -42,6 +48,8 @@
   std::string name;
   std::uint64_t stamp = 0;        // 0: not there (any more)
   std::vector<core::JobId> jobs;  // that it holds something of
+  std::size_t bytes = 0;          // that it takes at most, as shown here
+  bool needs_ends = false;        // as it is stored, it still names what the part's ends say has ended
 };
 // What one shard holds of a job.
 struct Piece {
@@ -106,7 +114,7 @@
   // Jobs that are accepted and not over.
   [[nodiscard]] const std::set<core::JobId>& live() const { return live_; }
   // Jobs that are cancelled and of which some task may still be on a machine.
-  [[nodiscard]] const std::set<core::JobId>& to_be_gone() const { return to_be_gone_; }
+  [[nodiscard]] const std::set<core::JobId>& cancelled_with_tasks() const { return cancelled_with_tasks_; }
   // Cancelled after that epoch, as far as we know; nothing if too much of that is forgotten.
   [[nodiscard]] std::optional<std::vector<core::JobId>> cancelled_after(std::uint64_t epoch) const;
   // Calls f(job, part, record) for each piece of all jobs.
@@ -129,7 +137,7 @@
                                std::uint64_t attempt) const;
   // False once a record of the part can't be read: what runs there is not known then.
   [[nodiscard]] bool readable(core::PartId part) const { return !unreadable_parts_.contains(part); }
-  // Done tasks of a job over all parts.
+  // Done tasks of a job over all parts; those of a standing job are never done.
   [[nodiscard]] std::uint32_t done(core::JobId id) const;
   [[nodiscard]] std::uint32_t placed(core::JobId id) const;
   // Everything that may be on the machine: a report or a round looks at one machine's entries, never at all
@@ -148,6 +156,7 @@
   [[nodiscard]] const Claim& claim(core::PartId p) const { return claims_.at(p.v); }
   [[nodiscard]] std::size_t parts() const { return claims_.size(); }
   [[nodiscard]] const Member* member(const std::string& label) const;
+  [[nodiscard]] const std::unordered_map<std::string, Member>& members() const { return members_; }
   [[nodiscard]] const TeamRecord& team(core::TeamId t) const { return teams_.at(t.v); }
   [[nodiscard]] std::uint64_t fence(core::PartId p) const { return fences_.at(p.v); }
   [[nodiscard]] const UsageRecord& usage(core::PartId p) const { return usage_.at(p.v); }
@@ -155,7 +164,7 @@
  private:
   void apply_shard(core::PartId part, const std::string& name, const Event& e);
   void apply_ends(core::PartId part, const Event& e);
-  void note_to_be_gone(core::JobId id);
+  void update_cancelled_with_tasks(core::JobId id);
   // Replaces what the shard holds of the job.
   void put_piece(core::JobId id, core::ShardId shard, jobs::RunRecord next);
 
@@ -176,7 +185,7 @@
   std::set<core::PartId> unreadable_parts_;
   std::set<core::JobId> live_;
   std::set<core::JobId> unreadable_;
-  std::set<core::JobId> to_be_gone_;
+  std::set<core::JobId> cancelled_with_tasks_;
   // The newest cancellations, and the epoch up to which they are forgotten.
   std::set<std::pair<std::uint64_t, core::JobId>> cancelled_;
   std::uint64_t cancelled_from_ = 0;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -18,23 +18,38 @@
   return v;
 }
 
+// The body of a transaction, and what of it the service would refuse for its size.
+struct TransactionBody {
+  std::string text;
+  std::string oversized_key;  // empty: every value is within the limit
+  std::size_t oversized_bytes = 0;
+};
+
 // Kept out of the coroutines: GCC 12 can't hold initializer lists in a coroutine's frame.
-std::string txn_body(Txn& txn) {
+TransactionBody transaction_body(const Txn& txn, const config::StateLimits& limits) {
+  const auto most_bytes = static_cast<std::size_t>(limits.value_kb * 1024);
   json::array when;
   for (const auto& c : txn.when) when.push_back(json::object{{"k", c.key}, {"stamp", c.stamp}});
-  json::array then;
-  for (auto& c : txn.then) {
-    json::object o;
-    if (c.value) {
-      o["set"] = c.key;
-      o["data"] = std::move(*c.value);
-      if (c.hold) o["hold"] = *c.hold;
-    } else {
-      o["delete"] = c.key;
+  TransactionBody body;
+  body.text = "{\"when\":" + json::serialize(when) + ",\"then\":[";
+  for (const auto& c : txn.then) {
+    if (&c != &txn.then.front()) body.text += ',';
+    const auto key = json::serialize(json::string(c.key));
+    if (!c.value) {
+      body.text += "{\"delete\":" + key + "}";
+      continue;
+    }
+    const auto value = json::serialize(*c.value);
+    if (value.size() > most_bytes) {
+      body.oversized_key = c.key;
+      body.oversized_bytes = value.size();
     }
-    then.push_back(std::move(o));
+    body.text += "{\"set\":" + key + ",\"data\":" + value;
+    if (c.hold) body.text += ",\"hold\":" + std::to_string(*c.hold);
+    body.text += '}';
   }
-  return json::serialize(json::object{{"when", std::move(when)}, {"then", std::move(then)}});
+  body.text += "]}";
+  return body;
 }
 std::string grant_body(int ttl_ms) { return json::serialize(json::object{{"ttlMs", ttl_ms}}); }
 
@@ -69,14 +84,15 @@
     : client_(network.connect(s.state, 6)),
       renewals_(network.connect(s.state, 1)),
       detour_(std::move(detour)),
-      requests_(part_of(s.state_rps, s.nodes), part_of(s.state_rps, s.nodes) * 0.7, core::Steady::now()),
-      writes_(part_of(s.state_write_rps, s.nodes), part_of(s.state_write_rps, s.nodes), core::Steady::now()),
-      write_rps_(s.state_write_rps),
-      most_changes_(std::max<std::size_t>(2, static_cast<std::size_t>(s.state_txn_ops))) {}
+      limits_(s.state_limits),
+      requests_(part_of(limits_.requests_per_s, s.nodes), part_of(limits_.requests_per_s, s.nodes) * 0.7,
+                core::Steady::now()),
+      writes_(part_of(limits_.changes_per_s, s.nodes), part_of(limits_.changes_per_s, s.nodes),
+              core::Steady::now()) {}
 
 void Store::use_share_of_writes(double share) {
   constexpr double kLeastBurst = 4;  // a few submissions that come together
-  const double rate = write_rps_ * std::min(1.0, share);
+  const double rate = limits_.changes_per_s * std::min(1.0, share);
   writes_.resize(rate, std::max(kLeastBurst, rate));
 }
 
@@ -114,10 +130,28 @@
   co_return answer;
 }
 
+// Logged once for each key and size: its owner tries again whenever something about it has changed.
+void Store::note_oversized(const Txn& txn, const std::string& key, std::size_t bytes) {
+  const auto name = key.empty() && !txn.then.empty() ? txn.then.front().key : key;
+  const auto size = key.empty() ? txn.then.size() : bytes;
+  auto& logged = oversized_[name];
+  if (logged == size) return;
+  constexpr std::size_t kMostKeys = 1000;
+  if (oversized_.size() > kMostKeys) oversized_.clear();
+  oversized_[name] = size;
+  spdlog::error("state: not sent, over a limit: key={} {}={}", name, key.empty() ? "changes" : "bytes", size);
+}
+
 asio::awaitable<Committed> Store::commit(Txn txn) {
-  std::string body = txn_body(txn);
-  http::Answer answer = co_await call(http::Verb::post, "/commit", std::move(body), 0.15);
   Committed out;
+  auto body = transaction_body(txn, limits_);
+  // Sent, it would be answered 400, now or from the moment on at which the announced limits hold.
+  if (!body.oversized_key.empty() || txn.then.size() > limits_.most_changes()) {
+    note_oversized(txn, body.oversized_key, body.oversized_bytes);
+    out.outcome = Outcome::too_large;
+    co_return out;
+  }
+  http::Answer answer = co_await call(http::Verb::post, "/commit", std::move(body.text), 0.15);
   switch (answer.status) {
     case 200:
     case 409: {
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "config/settings.hpp"
 #include "http/transport.hpp"
 #include "state/budget.hpp"
 
@@ -34,6 +36,7 @@
   conflict,   // a condition failed, nothing applied
   no_hold,    // the hold has ended, nothing applied
   refused,    // not executed: over a limit, or an outage
+  too_large,  // not sent: a value or the transaction is over the service's limits
   malformed,  // not executed: a mistake of ours
   unknown,    // no answer: might be applied, now or later
 };
@@ -78,11 +81,12 @@
   enum class For { users, records };
   bool spend(int writes, For what);
   // Most changes that one transaction may hold.
-  [[nodiscard]] std::size_t most_changes() const { return most_changes_; }
+  [[nodiscard]] std::size_t most_changes() const { return limits_.most_changes(); }
   // Owners write most: of the changes that all controllers may make together, this one takes so much.
   void use_share_of_writes(double share);
 
  private:
+  void note_oversized(const Txn& txn, const std::string& key, std::size_t bytes);
   asio::awaitable<http::Answer> call(http::Verb verb, std::string target, std::string body, double reserve);
   asio::awaitable<http::Answer> go(http::Transport& direct, http::Verb verb, std::string target,
                                    std::string body);
@@ -91,10 +95,10 @@
   std::unique_ptr<http::Transport> renewals_;  // own connection: a renewal never waits behind a large answer
   std::unique_ptr<http::Transport> detour_;
   core::TimePoint refused_at_{};  // when the service last answered 503 to us
+  config::StateLimits limits_;
   Budget requests_;
   Budget writes_;
-  double write_rps_ = 0;
-  std::size_t most_changes_ = 2;
+  std::unordered_map<std::string, std::size_t> oversized_;  // by key: the size last logged
 };
 
 }  // namespace finchrun::state
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -80,6 +80,13 @@
   return Cause::unknown;
 }
 
+std::optional<jobs::Shape> shape_of(std::string_view s) {
+  if (s == "array") return jobs::Shape::array;
+  if (s == "ensemble") return jobs::Shape::gang;
+  if (s == "standing") return jobs::Shape::standing;
+  return std::nullopt;
+}
+
 Submission read_submission(const json::object& o) {
   Submission s;
   s.id = text(o, "nameId");
@@ -87,8 +94,9 @@
   s.lane = text(o, "lane");
   s.team = text(o, "crew");
   const auto shape = text(o, "shape");
-  if (shape != "array" && shape != "ensemble") throw Bad{"invalid field shape"};
-  s.spec.gang = shape == "ensemble";
+  const auto known_shape = shape_of(shape);
+  if (!known_shape) throw Bad{"invalid field shape"};
+  s.spec.shape = *known_shape;
   auto priority = jobs::priority_from(text(o, "urgency"));
   if (!priority) throw Bad{"invalid field urgency"};
   s.spec.priority = *priority;
@@ -108,6 +116,7 @@
   s.spec.spread = flag(o, "scatter");
   s.spec.spot = flag(o, "loaners");
   s.spec.expect_s = amount(o, "expectS");
+  if (s.spec.standing()) s.spec.expect_s = jobs::kNoEnd;
   s.spec.checkpoint_s = amount(o, "snapshotS");
   s.spec.save_s = amount(o, "flushS");
   if (const auto* due = maybe(o, "dueS")) s.spec.due_s = amount_of(*due, "dueS");
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -48,12 +48,12 @@
   std::optional<core::TimePoint> deaf_since;
   core::TimePoint deaf_in_session{};  // the same, but since its newest session began
   [[nodiscard]] bool deaf() const { return deaf_since.has_value(); }
-  void doubt(core::TimePoint now) {
+  void suspect_unreachable(core::TimePoint now) {
     deaf_in_session = now;
     if (!deaf_since) deaf_since = now;
   }
   void heard() { deaf_since.reset(); }
-  std::size_t strangers = 0;  // pieces on it that no record knows
+  std::size_t unrecorded_tasks = 0;  // pieces on it that no record knows
   core::TimePoint idle_since{};
 
   // Images it should hold, least recently used first.
--- a/src/worker/reports.cpp
+++ b/src/worker/reports.cpp
@@ -25,6 +25,8 @@
   }
 }
 
+constexpr double kFailuresForgotten = 120;  // twice the longest pause of a job that fails everywhere
+
 void note_failure(ReportContext& ctx, Machine& m, core::JobId job) {
   m.failed_jobs.insert(job);
   // Several jobs failing on one machine point at the machine; one job failing on several points at the job.
@@ -34,6 +36,9 @@
   }
   m.avoid_until = ctx.now + core::secs(20);
   auto& t = ctx.trouble[job];
+  // A standing job meets many machines in its life; only failures that come together point at the job.
+  if (core::since(t.last_failure, ctx.now) > kFailuresForgotten) t.machines.clear();
+  t.last_failure = ctx.now;
   t.machines.insert(m.id);
   ++t.failures;
   if (t.machines.size() >= 2) {
@@ -50,8 +55,9 @@
   return !it->second.answered_seq || r.seq <= *it->second.answered_seq;
 }
 
-bool is_done(const state::Mirror& mirror, core::JobId id, std::uint32_t task) {
+bool is_done(const state::Mirror& mirror, const jobs::JobRecord& job, core::JobId id, std::uint32_t task) {
   bool done = false;
+  if (job.spec.standing()) return done;
   mirror.each_run(id, [&](core::PartId, const jobs::RunRecord& r) { done = done || r.done.contains(task); });
   return done;
 }
@@ -60,7 +66,7 @@
 
 bool gang_broken(const jobs::JobRecord& job, const state::Mirror& mirror, const Fleet& fleet,
                  core::JobId id) {
-  if (!job.spec.gang) return false;
+  if (!job.spec.gang()) return false;
   std::size_t there = 0;
   bool lost = false;
   mirror.each_run(id, [&](core::PartId part, const jobs::RunRecord& run) {
@@ -89,7 +95,7 @@
   if (m.reported && r.session > m.session) {
     m.images.clear();
     // Its lease ran out although its reports came: what we answer may not reach it.
-    m.doubt(ctx.now);
+    m.suspect_unreachable(ctx.now);
   }
   // A session that outlives a lease has had an answer that the worker accepted.
   if (m.deaf() && r.session == m.session && core::since(m.deaf_in_session, ctx.now) > ctx.lease_s * 1.05 + 1)
@@ -135,7 +141,8 @@
       touch_image(m, ctx.fleet, job->spec.image, job->spec.image_gb);
     if (piece && piece->state == TaskState::ended) {
       Fact fact = gone;
-      fact.done = piece->cause == Cause::done;
+      // A replica that ends in whatever way runs again.
+      fact.done = piece->cause == Cause::done && !(live && job->spec.standing());
       if (ctx.fleet.facts.insert(fact).second) {
         out.changed = true;
         spdlog::info("ended job={} task={} try={} machine={} cause={} saved={}", job_name, e.task, e.attempt,
@@ -149,7 +156,7 @@
     const auto stop = ctx.fleet.to_stop.find(start);
     const bool unwanted = !live || stop != ctx.fleet.to_stop.end() ||
                           gang_broken(*job, ctx.mirror, ctx.fleet, job_id) ||
-                          is_done(ctx.mirror, job_id, e.task);
+                          is_done(ctx.mirror, *job, job_id, e.task);
     if (!piece) {
       if (trusted && !ctx.direct && !may_still_start(ctx, start, r) &&
           (unwanted || ctx.fleet.seen.contains(start))) {
@@ -167,7 +174,7 @@
     if (piece->state == TaskState::saving && grace > 0) continue;
     out.orders.push_back({Order::Kind::stop, job_name, e.task, e.attempt, grace});
   }
-  m.strangers = 0;
+  m.unrecorded_tasks = 0;
   for (std::size_t i = 0; i < r.pieces.size(); ++i) {
     if (known[i]) continue;
     const auto& p = r.pieces[i];
@@ -178,11 +185,11 @@
       if (job && may_still_start(ctx, {*job, p.task, p.attempt}, r)) continue;
       out.orders.push_back({Order::Kind::forget, p.job, p.task, p.attempt, 0});
     } else {
-      ++m.strangers;
+      ++m.unrecorded_tasks;
       out.orders.push_back({Order::Kind::stop, p.job, p.task, p.attempt, 0});
     }
   }
-  if (busy || m.strangers > 0 || m.idle_since == core::TimePoint{}) m.idle_since = ctx.now;
+  if (busy || m.unrecorded_tasks > 0 || m.idle_since == core::TimePoint{}) m.idle_since = ctx.now;
   if (out.orders.size() > wire::kMaxOrders) out.orders.resize(wire::kMaxOrders);
   return out;
 }
--- a/src/worker/reports.hpp
+++ b/src/worker/reports.hpp
@@ -12,6 +12,7 @@
 struct JobTrouble {
   std::set<core::MachineId> machines;  // on which its tasks failed
   int failures = 0;
+  core::TimePoint last_failure{};
   core::TimePoint retry_at{};
 };
 
--- /dev/null
+++ b/tests/app/standing_test.cpp
@@ -0,0 +1,130 @@
+// Standing jobs, and limits of the state service that fall in the middle of a day.
+#include "app/days.hpp"
+
+namespace finchrun::sim {
+namespace {
+
+// The share of replica time that was not served.
+double missed(const Cluster& c) { return 1 - c.replica_s_served / c.replica_s_due; }
+
+void services(Cluster& c, int jobs) {
+  for (int i = 0; i < jobs; ++i)
+    c.at(8 + i, [&c, i] { c.submit_standing(2 + i % 3, i % 2 ? "red" : "blue"); });
+}
+
+TEST(Standing, RunsUntilItIsCancelled) {
+  Cluster c(3);
+  std::string id;
+  c.at(8, [&] { id = c.submit_standing(3, "red"); });
+  c.run(60);
+  std::string body;
+  c.ask_once(0, "GET", "/submissions/" + id, "", [&](int, std::string b) { body = std::move(b); });
+  c.run(2);
+  EXPECT_NE(body.find(R"("status":"running","done":0,"running":3)"), std::string::npos) << body;
+  EXPECT_LT(missed(c), 0.01);
+  c.cancel(id);
+  c.run(40);
+  expect_rules(c);
+  for (const auto& [_, w] : c.workers) EXPECT_TRUE(w.tasks.empty());
+}
+
+struct Day {
+  const char* name;
+  std::function<void(Cluster&)> trouble;
+  double most_missed;
+};
+class StandingDay : public testing::TestWithParam<Day> {};
+TEST_P(StandingDay, KeepsTheRulesAndServes) {
+  for (const std::uint32_t seed : {7u, 8u}) {
+    Cluster c(seed);
+    load(c, 9, 30);
+    services(c, 4);
+    c.troubles_over = core::Steady::now() + core::secs(120);
+    GetParam().trouble(c);
+    c.run(200);
+    expect_rules(c);
+    EXPECT_EQ(finished(c), 9u) << "seed " << seed;
+    EXPECT_LT(missed(c), GetParam().most_missed) << "seed " << seed;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, StandingDay,
+                         testing::Values(Day{"nothing_happens", [](Cluster&) {}, 0.01},
+                                         Day{"rolling_restart",
+                                             [](Cluster& c) {
+                                               for (std::size_t n = 0; n < 3; ++n)
+                                                 c.at(20 + 10 * static_cast<double>(n),
+                                                      [&c, n] { c.crash(n, 3); });
+                                             },
+                                             0.02},
+                                         Day{"all_controllers_crash",
+                                             [](Cluster& c) {
+                                               for (std::size_t n = 0; n < 3; ++n)
+                                                 c.at(25, [&c, n] { c.crash(n, 3); });
+                                             },
+                                             0.02},
+                                         Day{"state_outage",
+                                             [](Cluster& c) {
+                                               c.at(25, [&c] { c.state.outage = true; });
+                                               c.at(45, [&c] { c.state.recover(core::Steady::now()); });
+                                             },
+                                             0.02},
+                                         Day{"a_machine_dies",
+                                             [](Cluster& c) {
+                                               c.at(30, [&c] {
+                                                 for (auto& [name, w] : c.workers) {
+                                                   if (w.tasks.empty()) continue;
+                                                   w.dead = c.cloud.hosts[name].dead = true;
+                                                   return;
+                                                 }
+                                               });
+                                             },
+                                             0.12}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+struct Fall {
+  const char* name;
+  double at_s;
+  std::function<void(Cluster&)> trouble;
+};
+class LimitsFall : public testing::TestWithParam<Fall> {};
+// Old controllers know the present limits only; new ones, restarted one by one, obey those announced, and the
+// service begins to enforce them at some moment after the last has come back.
+TEST_P(LimitsFall, InTheMiddleOfADay) {
+  for (const std::uint32_t seed : {21u}) {
+    Cluster c(seed, 3, 5);
+    load(c, 24, 60);
+    c.at(10, [&c] { c.submit(60, false, 0.1, 40, "red", "normal"); });
+    c.troubles_over = core::Steady::now() + core::secs(140);
+    c.at(20, [&c] { c.announce({1000, 200, 1, 5}); });
+    for (std::size_t n = 0; n < 3; ++n) c.at(21 + 5 * static_cast<double>(n), [&c, n] { c.crash(n, 1); });
+    c.at(GetParam().at_s, [&c] {
+      c.state.value_bytes = 1024;
+      c.state.transaction_changes = 5;
+    });
+    GetParam().trouble(c);
+    services(c, 0);
+    c.at(40, [&c] { services(c, 3); });
+    c.run(200);
+    expect_rules(c);
+    EXPECT_EQ(finished(c), 25u) << "seed " << seed;
+    EXPECT_EQ(c.state.refused_for_size, 0u) << "seed " << seed;
+    EXPECT_LT(missed(c), 0.05) << "seed " << seed;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, LimitsFall,
+                         testing::Values(Fall{"right_after_the_roll", 33, [](Cluster&) {}},
+                                         Fall{"later", 60, [](Cluster&) {}},
+                                         Fall{"with_late_writes", 40,
+                                              [](Cluster& c) {
+                                                c.faults.late_write = 0.1;
+                                                c.at(100, [&c] { c.faults.late_write = 0; });
+                                              }},
+                                         Fall{"with_a_crash_of_all", 36,
+                                              [](Cluster& c) {
+                                                for (std::size_t n = 0; n < 3; ++n)
+                                                  c.at(37, [&c, n] { c.crash(n, 2); });
+                                              }}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace finchrun::sim
--- a/tests/peer/messages_test.cpp
+++ b/tests/peer/messages_test.cpp
@@ -30,6 +30,42 @@
   EXPECT_EQ(std::get<Cancelled>(*cancelled).stamp, 41u);
 }
 
+// Frames as version 2 has always written them: the version in production must understand each, and be
+// understood.
+struct Literal {
+  const char* name;
+  Message message;
+  std::string frame;
+};
+class Version2 : public testing::TestWithParam<Literal> {};
+TEST_P(Version2, IsWrittenAndReadByteForByte) {
+  EXPECT_EQ(encode(GetParam().message), GetParam().frame);
+  const auto back = decode(GetParam().frame);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->index(), GetParam().message.index());
+  EXPECT_EQ(encode(*back), GetParam().frame);
+}
+// Little-endian mark, version, index of the message, its fields; texts and lists with their length in front.
+std::string frame(char index, const std::string& fields) {
+  return std::string("\x01\x02\0\0\0", 5) + index + std::string("\0\0\0", 3) + fields;
+}
+std::string number(char low) { return low + std::string(7, '\0'); }
+std::string text(const std::string& s) { return number(static_cast<char>(s.size())) + s; }
+INSTANTIATE_TEST_SUITE_P(
+    Table, Version2,
+    testing::Values(Literal{"ping", Ping{"perch-1", 77}, frame(0, text("perch-1") + number(77))},
+                    Literal{"pong", Pong{2.0, true, {{"req-2", "{}", 42}}},
+                            frame(1, std::string("\0\0\0\0\0\0\0\x40\x01", 9) + number(1) + text("req-2") +
+                                         text("{}") + number(42))},
+                    Literal{"relay", Relay{"report"}, frame(2, text("report"))},
+                    Literal{"state_call", StateCall{true, "/commit", "{}"},
+                            frame(3, "\x01" + text("/commit") + text("{}"))},
+                    Literal{"reply", Reply{42, "body"},
+                            frame(4, std::string("\x2a\0\0\0", 4) + text("body"))},
+                    Literal{"cancelled", Cancelled{"req-1", "{}", 41},
+                            frame(5, text("req-1") + text("{}") + number(41))}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(PeerMessages, WhatMakesNoSenseIsNoMessage) {
   auto cut = encode(Reply{200, "body"});
   cut.resize(cut.size() - 3);
--- a/tests/sched/preempt_test.cpp
+++ b/tests/sched/preempt_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "jobs/job.hpp"
+
 namespace finchrun::sched {
 namespace {
 
@@ -195,6 +197,19 @@
   }
 }
 
+// Room that replicas take never comes free by itself: no gang is kept waiting for it.
+TEST(Gather, DoesNotWaitForReplicas) {
+  for (const bool endless : {false, true}) {
+    auto d = demand(1, 1);
+    d.waited_s = 60;
+    auto r = running(1, 0, 3, 4);
+    r.left_s = endless ? jobs::kNoEnd : 30;
+    auto n = full(0);
+    n.free = {};
+    EXPECT_EQ(gather({n}, {d}, {0}, {r}, {TeamRoom{}, TeamRoom{}}, 10, 1).size(), endless ? 0u : 1u);
+  }
+}
+
 struct ClaimCase {
   const char* name;
   bool demand_within;
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -34,12 +34,16 @@
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
 
+  // Controllers that boot from now on are told of these limits of the state service.
+  void announce(const config::StateLimits& limits) { settings_.state_limits = limits; }
   void run(double seconds);
   void at(double seconds_from_now, std::function<void()> what);
   void crash(std::size_t node, double back_s);
   void submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
               const std::string& priority, bool spot = false, const std::string& zone = {},
               double apart_s = 0);
+  // A job of so many small replicas, spread over zones.
+  std::string submit_standing(int replicas, const std::string& team);
   // Called when a task has completed, with its job.
   std::function<void(const std::string&)> on_end;
   void cancel(const std::string& id);
@@ -67,6 +71,8 @@
   std::size_t starts = 0;
   std::size_t killed_by_lease = 0;    // tasks of jobs that are not called off
   std::size_t started_cancelled = 0;  // starts of jobs whose user knew them to be cancelled
+  // Replica time of standing jobs from 5 s after their acceptance until they are called off.
+  double replica_s_due = 0, replica_s_served = 0;
   std::mt19937 random;
 
  private:
@@ -94,6 +100,9 @@
   [[nodiscard]] bool reachable(std::size_t node, const config::Endpoint& to) const;
   void check();
   void check_waiting();
+  void check_scatter(const Worker& w, const Task& t);
+  void count_replicas();
+  std::string enter(JobTruth truth);
 
   config::Settings settings_;
   std::map<std::string, TimePoint> fits_since_;  // waiting jobs for which there has been room, since when
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -27,6 +27,9 @@
  public:
   Answer handle(http::Verb verb, const std::string& target, const std::string& body, TimePoint now);
   bool outage = false;
+  // What it takes from now on; what is stored stays readable.
+  std::size_t value_bytes = 8192, transaction_changes = 16;
+  std::size_t refused_for_size = 0;  // requests answered 400 for a limit
   // Outage over: every hold has its full time again.
   void recover(TimePoint now);
   [[nodiscard]] std::map<std::string, json::value> under(const std::string& prefix) const;
@@ -47,6 +50,7 @@
   };
   void expire(TimePoint now);
   Answer commit(const json::object& o);
+  Answer too_large(const char* what);
   std::uint64_t epoch_ = 0, next_hold_ = 1;
   std::map<std::string, Item> items_;
   std::map<std::uint64_t, Hold> holds_;
@@ -71,12 +75,14 @@
   json::object spec;
   std::uint32_t tasks = 1;
   bool gang = false;
+  bool standing = false;  // its replicas run until it is cancelled
   double run_s = 5, fetch_s = 1, save_s = 1;
   double apart_s = 0;  // each task runs so much longer than the one before
   std::string team;
   double gpus = 0;
   std::set<std::uint32_t> done;
   bool accepted = false, told_done = false, asked_cancel = false;
+  TimePoint accepted_at{};
   TimePoint answered{};  // when a question about it was last answered with 200
   std::optional<TimePoint> told_cancelled;
 };
