A job never leaves a shard of which stored ends still name it

Cause, by reading: where a split could not take the ends along, whole jobs were let out of their shard, and a later placement of the same job in that shard brought the old ends back to life, so that tasks counted as done twice. The same could happen where ends that this writer found not needed still stood in the store. Now what is done of such jobs stays in the shard, judged by what is stored, and ends that nobody needs are removed with the next write.

--- a/src/app/edits.cpp
+++ b/src/app/edits.cpp
@@ -50,6 +50,8 @@
     for (const auto& [id, items] : jobs) ends_bytes_ += app::bytes_of(w, id, items);
   }
   ends_too_long_ = ends_bytes_ > most_bytes_;
+  // While items that nobody needs stand in the store, nothing of their jobs may leave its shard unnoticed.
+  ends_changed_ = !ends_too_long_ && ends_.size() != w.mirror.ends(part).shards.size();
 }
 
 std::size_t PartWriter::most_entries(const config::StateLimits& limits) {
@@ -118,21 +120,11 @@
                                                                     const std::set<core::JobId>& pinned,
                                                                     std::size_t most) const {
   std::vector<Contents> out(1);
-  std::size_t bytes = 0;
-  std::set<core::JobId> leave;  // those of `pinned` that don't fit into the first shard
-  for (const auto id : pinned) {
-    const auto job = jobs.find(id);
-    if (job == jobs.end()) continue;
-    jobs::RunRecord done;
-    done.done = job->second.done;
-    const auto more = jobs::bytes_at_most(done, w_.names);
-    if (bytes + more > most_bytes_) {
-      leave.insert(id);
-      continue;
-    }
-    bytes += more;
-    out[0][id] = std::move(done);
-  }
+  for (const auto id : pinned)
+    if (const auto job = jobs.find(id); job != jobs.end() && !job->second.done.spans().empty())
+      out[0][id].done = job->second.done;
+  std::size_t bytes = bytes_of(out[0]);
+  if (bytes > most_bytes_) return std::nullopt;
   // Puts one thing of the job into the newest shard, or into one more if it is full.
   const auto put = [&](core::JobId id, auto&& add) {
     const auto known = out.back().find(id);
@@ -150,19 +142,12 @@
     add(out.back()[id]);
     bytes = bytes_of(out.back());
   };
-  const auto put_job = [&](core::JobId id, const jobs::RunRecord& run, bool with_done) {
-    if (with_done)
+  for (const auto& [id, run] : jobs) {
+    if (!pinned.contains(id))
       for (const auto& span : run.done.spans())
         put(id, [&](jobs::RunRecord& to) { to.done.add(span.first, span.second); });
     for (const auto& entry : run.entries) put(id, [&](jobs::RunRecord& to) { to.entries.push_back(entry); });
-  };
-  for (const auto& [id, run] : jobs)
-    if (!leave.contains(id)) put_job(id, run, !pinned.contains(id));
-  if (!leave.empty() && out.size() == 1) {
-    out.emplace_back();
-    bytes = 0;
   }
-  for (const auto id : leave) put_job(id, jobs.at(id), true);
   if (out.size() > most) return std::nullopt;
   return out;
 }
@@ -170,19 +155,19 @@
 bool PartWriter::split(const std::string& name) {
   const auto id = w_.mirror.find_shard(part_, name);
   const auto jobs = contents(*id);
-  const auto noted = ends_.find(name);
   std::optional<std::vector<Contents>> shards;
   if (!ends_too_long_) shards = spread(jobs, {}, most_changes_ - 1);
   if (shards) {
     drop_ends(name);
   } else {
     // The ends stay as they are and are harmless when read again: what they name is not in this shard any
-    // more, and either what they say is done stands in it still, so that it is never counted twice, or
-    // nothing of their job is in it, and they are passed over.
+    // more, and what they say is done stands in it still, so that it is never counted twice. That holds for
+    // what is stored, though this writer may have found some of it not needed any more.
     std::set<core::JobId> pinned;
-    if (noted != ends_.end())
-      for (const auto& [job, _] : noted->second) pinned.insert(job);
-    shards = spread(jobs, pinned, most_changes_);
+    const auto& stored = w_.mirror.ends(part_).shards;
+    if (const auto items = stored.find(name); items != stored.end())
+      for (const auto& [job, _] : items->second) pinned.insert(job);
+    shards = spread(jobs, pinned, most_changes_ - (ends_changed_ ? 1 : 0));
   }
   if (!shards) return false;
   open_[name] = {w_.mirror.shard(*id).stamp, 0, std::move(shards->front())};
--- a/src/app/edits.hpp
+++ b/src/app/edits.hpp
@@ -69,8 +69,7 @@
   [[nodiscard]] std::size_t ends_of(const std::string& shard) const;
   // Spreads the shard's contents over itself and new ones.
   bool split(const std::string& name);
-  // As many shards as needed, at most `most`. Of the jobs in `pinned` either all that is done stays in the
-  // first or nothing at all of the job.
+  // As many shards as needed, at most `most`. What is done of the jobs in `pinned` stays in the first.
   [[nodiscard]] std::optional<std::vector<Contents>> spread(const Contents& jobs,
                                                             const std::set<core::JobId>& pinned,
                                                             std::size_t most) const;
--- a/tests/app/limits_test.cpp
+++ b/tests/app/limits_test.cpp
@@ -105,6 +105,20 @@
   const PartWriter last(u.after.w, u.after.part);
   EXPECT_FALSE(last.ends_too_long());
   for (const auto shard : u.after.w.mirror.shards(u.after.part)) EXPECT_TRUE(last.fits(shard));
+  // More of the same jobs is placed: what is done of them is not counted again, wherever that goes.
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    auto more = u.after.entries(1, kAttempt + 1);
+    more[0].task = kTasks;
+    PartWriter writer(u.after.w, u.after.part);
+    ASSERT_TRUE(writer.add(ids[i], more));
+    u.commit(writer);
+    EXPECT_EQ(u.done_and_placed("req-" + std::to_string(i)), std::pair(done, kTasks - done + 1));
+  }
+  for (const auto id : ids) {
+    PartWriter writer(u.after.w, u.after.part);
+    ASSERT_TRUE(writer.settle({id, u.after.part, kTasks, kAttempt + 1, false}));
+    u.commit(writer);
+  }
   // The rest ends too, and is recorded within the limits.
   for (std::uint32_t t = 0; t < kTasks; ++t)
     for (const auto id : ids) {
