Tasks done are counted as the union over a job's records

The cause is not known. A sum over shards calls a job done too early whenever a task stands as done in two of them; the union does not.

--- a/src/app/edits.cpp
+++ b/src/app/edits.cpp
@@ -291,7 +291,11 @@
 }
 
 std::uint32_t PartWriter::done(core::JobId id) const {
-  std::uint32_t n = 0;
+  // The union: a task that two shards call done is one task all the same.
+  jobs::Intervals done;
+  const auto take = [&done](const jobs::RunRecord& run) {
+    for (const auto& [from, to] : run.done.spans()) done.add(from, to);
+  };
   for (const auto& p : w_.mirror.pieces(id)) {
     const auto& name = w_.mirror.shard(p.shard).name;
     if (p.part == part_ && open_.contains(name)) continue;
@@ -299,11 +303,11 @@
     if (const auto shard = ends_.find(name); p.part == part_ && shard != ends_.end())
       if (const auto items = shard->second.find(id); items != shard->second.end())
         state::settle(run, items->second);
-    n += run.done.size();
+    take(run);
   }
   for (const auto& [_, o] : open_)
-    if (const auto run = o.jobs.find(id); run != o.jobs.end()) n += run->second.done.size();
-  return n;
+    if (const auto run = o.jobs.find(id); run != o.jobs.end()) take(run->second);
+  return done.size();
 }
 
 void PartWriter::finish(Edit& e) const {
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -289,11 +289,13 @@
   } else {
     with_runs_.insert(id);
   }
-  at.done = at.placed = 0;
+  at.placed = 0;
+  jobs::Intervals done;  // the union: a task that two shards call done is one task all the same
   for (const auto& p : at.pieces) {
-    at.done += p.run.done.size();
+    for (const auto& [from, to] : p.run.done.spans()) done.add(from, to);
     at.placed += static_cast<std::uint32_t>(p.run.entries.size());
   }
+  at.done = done.size();
   update_cancelled_with_tasks(id);
 }
 
