Tests: a refused setting is checked in one place

The check of the announced limits stood beside that of the other settings, line for line. The assertions are the same. Run: the settings' tests alone.

--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -48,6 +48,18 @@
   return text.replace(at, from.size(), to);
 }
 
+// One line names the field and the value.
+void expect_refused(const File& f, const std::string& field) {
+  try {
+    load_settings(f.path);
+    FAIL() << "accepted";
+  } catch (const SettingsError& e) {
+    const std::string line = e.what();
+    EXPECT_NE(line.find(field), std::string::npos) << line;
+    EXPECT_EQ(line.find('\n'), std::string::npos) << line;
+  }
+}
+
 TEST(Settings, ReadsThePlatformsFile) {
   File f(kGood);
   const auto s = load_settings(f.path);
@@ -97,14 +109,7 @@
 class BadStateLimits : public testing::TestWithParam<BadAnnounced> {};
 TEST_P(BadStateLimits, NameFieldOnOneLine) {
   File f(kGood + "[deployment.state]\n" + GetParam().next);
-  try {
-    load_settings(f.path);
-    FAIL() << "accepted";
-  } catch (const SettingsError& e) {
-    const std::string line = e.what();
-    EXPECT_NE(line.find(GetParam().field), std::string::npos) << line;
-    EXPECT_EQ(line.find('\n'), std::string::npos) << line;
-  }
+  expect_refused(f, GetParam().field);
 }
 INSTANTIATE_TEST_SUITE_P(
     Table, BadStateLimits,
@@ -122,14 +127,7 @@
 class BadSettings : public testing::TestWithParam<Bad> {};
 TEST_P(BadSettings, NameFieldOnOneLine) {
   File f(replaced(kGood, GetParam().from, GetParam().to));
-  try {
-    load_settings(f.path);
-    FAIL() << "accepted";
-  } catch (const SettingsError& e) {
-    const std::string line = e.what();
-    EXPECT_NE(line.find(GetParam().field), std::string::npos) << line;
-    EXPECT_EQ(line.find('\n'), std::string::npos) << line;
-  }
+  expect_refused(f, GetParam().field);
 }
 INSTANTIATE_TEST_SUITE_P(
     Table, BadSettings,
