Records of what runs read the same in any order; done tasks never count twice

The split of a shard moves what is done to another shard and takes the ends out of their list in one transaction. Read shard first, the old ends were taken into the shard once more: the task stood as done in two shards, the next split stored it so, and its job was called done early.

- The mirror shows a pure function of the stored shard and the stored ends; the union over shards is gone again, since no task stands as done in two of them.
- While a controller of an earlier level may read (the level of each label's newest member record, running or not), what is done stays in its shard; only entries move.
Record level 2.
- Where ends can't be rewritten, the jobs that they name leave the shard as a whole and stay away.

--- a/src/app/edits.cpp
+++ b/src/app/edits.cpp
@@ -44,7 +44,7 @@
   for (const auto& [name, jobs] : w.mirror.ends(part).shards) {
     // Its shard has been written without what has ended: nothing is lost with these.
     const auto shard = w.mirror.find_shard(part, name);
-    if (shard && !w.mirror.shard(*shard).needs_ends) continue;
+    if (shard && !w.mirror.shard(*shard).needs_ends()) continue;
     ends_.emplace(name, jobs);
     ends_bytes_ += frame_of(name);
     for (const auto& [id, items] : jobs) ends_bytes_ += app::bytes_of(w, id, items);
@@ -59,14 +59,8 @@
   return shards_for(limits, limits.most_changes()) * (for_each / jobs::kEntryBytes - kSpareEntries);
 }
 
-std::size_t PartWriter::bytes_of(const Contents& jobs) const {
-  std::size_t bytes = 0;
-  for (const auto& [_, run] : jobs) bytes += jobs::bytes_at_most(run, w_.names);
-  return bytes;
-}
-
-PartWriter::Contents PartWriter::contents(core::ShardId id) const {
-  Contents out;
+ShardContents PartWriter::contents(core::ShardId id) const {
+  ShardContents out;
   const auto& shard = w_.mirror.shard(id);
   const auto ended = ends_.find(shard.name);
   for (const auto job_id : shard.jobs) {
@@ -82,7 +76,8 @@
 }
 
 bool PartWriter::fits(core::ShardId shard) const {
-  return w_.mirror.shard(shard).bytes <= most_bytes_ || bytes_of(contents(shard)) <= most_bytes_;
+  return w_.mirror.shard(shard).bytes <= most_bytes_ ||
+         bytes_at_most(contents(shard), w_.names) <= most_bytes_;
 }
 
 void PartWriter::drop_ends(const std::string& shard) {
@@ -100,7 +95,7 @@
   const auto id = w_.mirror.find_shard(part_, name);
   if (!id) return &open_[name];
   auto jobs = contents(*id);
-  const auto bytes = bytes_of(jobs);
+  const auto bytes = bytes_at_most(jobs, w_.names);
   if (bytes > most_bytes_) return nullptr;
   if (!ends_too_long_) drop_ends(name);
   auto& shard = open_[name];
@@ -116,58 +111,29 @@
   }
 }
 
-std::optional<std::vector<PartWriter::Contents>> PartWriter::spread(const Contents& jobs,
-                                                                    const std::set<core::JobId>& pinned,
-                                                                    std::size_t most) const {
-  std::vector<Contents> out(1);
-  for (const auto id : pinned)
-    if (const auto job = jobs.find(id); job != jobs.end() && !job->second.done.spans().empty())
-      out[0][id].done = job->second.done;
-  std::size_t bytes = bytes_of(out[0]);
-  if (bytes > most_bytes_) return std::nullopt;
-  // Puts one thing of the job into the newest shard, or into one more if it is full.
-  const auto put = [&](core::JobId id, auto&& add) {
-    const auto known = out.back().find(id);
-    const bool fresh = known == out.back().end();
-    auto next = fresh ? jobs::RunRecord{} : known->second;
-    const auto before = fresh ? 0 : jobs::bytes_at_most(next, w_.names);
-    add(next);
-    const auto after = bytes + jobs::bytes_at_most(next, w_.names) - before;
-    if (after <= most_bytes_) {
-      bytes = after;
-      out.back()[id] = std::move(next);
-      return;
-    }
-    out.emplace_back();
-    add(out.back()[id]);
-    bytes = bytes_of(out.back());
-  };
-  for (const auto& [id, run] : jobs) {
-    if (!pinned.contains(id))
-      for (const auto& span : run.done.spans())
-        put(id, [&](jobs::RunRecord& to) { to.done.add(span.first, span.second); });
-    for (const auto& entry : run.entries) put(id, [&](jobs::RunRecord& to) { to.entries.push_back(entry); });
-  }
-  if (out.size() > most) return std::nullopt;
-  return out;
-}
-
 bool PartWriter::split(const std::string& name) {
   const auto id = w_.mirror.find_shard(part_, name);
   const auto jobs = contents(*id);
-  std::optional<std::vector<Contents>> shards;
-  if (!ends_too_long_) shards = spread(jobs, {}, most_changes_ - 1);
+  // A controller of an earlier version takes ends into a shard for good, whichever it reads first: what is
+  // done would count twice for it if it had moved to another shard meanwhile.
+  const bool done_may_move = w_.all_controllers_know(state::kEndsInAnyOrder);
+  SplitRules rules{most_bytes_, most_changes_ - (ends_changed_ ? 1 : 0), {}, {}};
+  if (!done_may_move)
+    for (const auto& [job, _] : jobs) rules.done_stays.insert(job);
+  std::optional<std::vector<ShardContents>> shards;
+  if (!ends_too_long_) {
+    auto without_ends = rules;
+    without_ends.most_shards = most_changes_ - 1;
+    shards = split_shard(jobs, without_ends, w_.names);
+  }
   if (shards) {
     drop_ends(name);
   } else {
-    // The ends stay as they are and are harmless when read again: what they name is not in this shard any
-    // more, and what they say is done stands in it still, so that it is never counted twice. That holds for
-    // what is stored, though this writer may have found some of it not needed any more.
-    std::set<core::JobId> pinned;
-    const auto& stored = w_.mirror.ends(part_).shards;
-    if (const auto items = stored.find(name); items != stored.end())
-      for (const auto& [job, _] : items->second) pinned.insert(job);
-    shards = spread(jobs, pinned, most_changes_ - (ends_changed_ ? 1 : 0));
+    // The stored ends stay as they are. They are harmless when read again if nothing that they name is left
+    // in this shard, or all that they call done.
+    if (done_may_move)
+      for (const auto& [job, _] : w_.mirror.ends(part_).of(name)) rules.must_leave.insert(job);
+    shards = split_shard(jobs, rules, w_.names);
   }
   if (!shards) return false;
   open_[name] = {w_.mirror.shard(*id).stamp, 0, std::move(shards->front())};
@@ -175,6 +141,14 @@
   return true;
 }
 
+// A job that has left a shard may not come back while stored ends that can't be rewritten name it there:
+// they would be taken for its own once more.
+bool PartWriter::may_hold(const std::string& name, core::JobId id) const {
+  if (!ends_too_long_ || !w_.mirror.ends(part_).of(name).contains(id)) return true;
+  const auto shard = w_.mirror.find_shard(part_, name);
+  return shard && w_.mirror.run(id, *shard);
+}
+
 bool PartWriter::shrink() {
   for (const auto shard : w_.mirror.shards(part_))
     if (!fits(shard) && split(w_.mirror.shard(shard).name)) return true;
@@ -186,8 +160,8 @@
 PartWriter::Open* PartWriter::with_room(core::JobId id, std::size_t bytes) {
   // One that is written anyway, best the one that has the job already.
   Open* best = nullptr;
-  for (auto& [_, o] : open_) {
-    if (o.bytes + bytes > most_bytes_) continue;
+  for (auto& [name, o] : open_) {
+    if (o.bytes + bytes > most_bytes_ || !may_hold(name, id)) continue;
     if (!best || o.jobs.contains(id)) best = &o;
   }
   if (best) return best;
@@ -198,7 +172,7 @@
   std::pair<std::size_t, std::size_t> best_score{0, 0};  // ends, bytes
   for (const auto shard : w_.mirror.shards(part_)) {
     const auto& s = w_.mirror.shard(shard);
-    if (open_.contains(s.name)) continue;
+    if (open_.contains(s.name) || !may_hold(s.name, id)) continue;
     const std::pair score{ends_of(s.name), s.bytes};
     if (s.bytes + bytes > most_bytes_ || score < best_score) continue;
     best_score = score;
@@ -291,11 +265,7 @@
 }
 
 std::uint32_t PartWriter::done(core::JobId id) const {
-  // The union: a task that two shards call done is one task all the same.
-  jobs::Intervals done;
-  const auto take = [&done](const jobs::RunRecord& run) {
-    for (const auto& [from, to] : run.done.spans()) done.add(from, to);
-  };
+  std::uint32_t done = 0;
   for (const auto& p : w_.mirror.pieces(id)) {
     const auto& name = w_.mirror.shard(p.shard).name;
     if (p.part == part_ && open_.contains(name)) continue;
@@ -303,11 +273,11 @@
     if (const auto shard = ends_.find(name); p.part == part_ && shard != ends_.end())
       if (const auto items = shard->second.find(id); items != shard->second.end())
         state::settle(run, items->second);
-    take(run);
+    done += run.done.size();
   }
   for (const auto& [_, o] : open_)
-    if (const auto run = o.jobs.find(id); run != o.jobs.end()) take(run->second);
-  return done.size();
+    if (const auto run = o.jobs.find(id); run != o.jobs.end()) done += run->second.done.size();
+  return done;
 }
 
 void PartWriter::finish(Edit& e) const {
--- a/src/app/edits.hpp
+++ b/src/app/edits.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "app/shard_split.hpp"
 #include "app/world.hpp"
 #include "state/store.hpp"
 #include "worker/fleet.hpp"
@@ -52,27 +53,21 @@
   void finish(Edit& e) const;
 
  private:
-  using Contents = std::map<core::JobId, jobs::RunRecord>;
-  using EndedOfJobs = std::map<core::JobId, std::vector<state::Ended>>;
   struct Open {
     std::uint64_t stamp = 0;
     std::size_t bytes = 0;
-    Contents jobs;
+    ShardContents jobs;
   };
   // Nothing if too many are open, or if it is over the limit and has to be split first.
   Open* open(const std::string& name);
   // What the shard shall hold from now on: what this writer's ends say of it is taken in.
-  [[nodiscard]] Contents contents(core::ShardId shard) const;
-  [[nodiscard]] std::size_t bytes_of(const Contents& jobs) const;
+  [[nodiscard]] ShardContents contents(core::ShardId shard) const;
   void drop_ends(const std::string& shard);
   // How many ends are noted for the shard.
   [[nodiscard]] std::size_t ends_of(const std::string& shard) const;
   // Spreads the shard's contents over itself and new ones.
   bool split(const std::string& name);
-  // As many shards as needed, at most `most`. What is done of the jobs in `pinned` stays in the first.
-  [[nodiscard]] std::optional<std::vector<Contents>> spread(const Contents& jobs,
-                                                            const std::set<core::JobId>& pinned,
-                                                            std::size_t most) const;
+  [[nodiscard]] bool may_hold(const std::string& shard, core::JobId id) const;
   [[nodiscard]] std::string unused_name() const;
   // Puts it among the part's ends; rewrites the shard that they say most of when they have grown too long.
   bool note_end(const std::string& shard, core::JobId id, const state::Ended& item);
@@ -83,7 +78,7 @@
   core::PartId part_;
   std::size_t most_changes_, most_shards_, most_bytes_;
   std::map<std::string, Open> open_;
-  std::map<std::string, EndedOfJobs> ends_;  // of shards that aren't open
+  std::map<std::string, state::EndedOfJobs> ends_;  // of shards that aren't open
   std::size_t ends_bytes_ = 0;
   // Written under larger limits: the ends stay as they are until every shard that they speak of is written
   // without what has ended. Until then ends go into their shards.
--- a/src/app/world.hpp
+++ b/src/app/world.hpp
@@ -103,6 +103,13 @@
     return !members.empty() && std::all_of(members.begin(), members.end(),
                                            [&](const auto& m) { return m.second.level >= level; });
   }
+  // Every controller of the deployment, running or not, was of this level when it was last a member.
+  [[nodiscard]] bool all_controllers_know(std::uint64_t level) const {
+    return std::all_of(s.members.begin(), s.members.end(), [&](const config::Member& m) {
+      const auto known = mirror.last_level(m.label);
+      return known && *known >= level;
+    });
+  }
   // A member whose process runs, as far as the state service knows.
   [[nodiscard]] bool alive(const std::string& label) const { return mirror.member(label) != nullptr; }
 
--- a/src/state/mirror.cpp
+++ b/src/state/mirror.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace finchrun::state {
 namespace {
@@ -27,6 +28,12 @@
 
 }  // namespace
 
+const EndedOfJobs& Ends::of(const std::string& shard) const {
+  static const EndedOfJobs nothing;
+  const auto it = shards.find(shard);
+  return it == shards.end() ? nothing : it->second;
+}
+
 bool settle(jobs::RunRecord& run, const std::vector<Ended>& items) {
   bool changed = false;
   for (const auto& item : items) {
@@ -120,6 +127,7 @@
       } else {
         const auto* level = e.value->as_object().if_contains("level");
         slot = {whole(e.value->at("inc")), e.stamp, level ? whole(*level) : 0};
+        last_levels_[std::string(rest)] = slot.level;
       }
     } else if (table == "teams") {
       const auto team = names_.teams.find(rest);
@@ -202,7 +210,7 @@
   const auto [at, fresh] = shard_ids_.try_emplace({part, name});
   if (fresh) {
     at->second = core::ShardId{static_cast<std::uint32_t>(shards_.size())};
-    shards_.push_back({part, name, 0, {}, 0, false});
+    shards_.push_back({part, name, 0, {}, 0, {}});
   }
   const auto id = at->second;
   if (e.stamp <= shards_[id.v].stamp) return;
@@ -218,22 +226,19 @@
   shard.jobs.clear();
   shard.stamp = e.value ? e.stamp : 0;
   shard.bytes = 0;
-  shard.needs_ends = false;
-  const auto& ends = ends_[part.v].shards;
-  const auto ended = ends.find(name);
+  shard.unsettled.clear();
   for (auto& [job, run] : next) {
     shard.jobs.push_back(job);
-    if (ended != ends.end())
-      if (const auto items = ended->second.find(job); items != ended->second.end())
-        shard.needs_ends |= settle(run, items->second);
-    shard.bytes += jobs::bytes_at_most(run, names_);
-    put_piece(job, id, std::move(run));
+    show_piece(job, id, std::move(run));
   }
   std::sort(shard.jobs.begin(), shard.jobs.end());
   for (const auto job : before)
     if (!std::binary_search(shard.jobs.begin(), shard.jobs.end(), job)) put_piece(job, id, {});
 }
 
+// What is shown depends on the stored values alone, never on the order in which they were read. Ends that
+// were taken into a shard for good once counted tasks as done twice: a transaction that moved what is done
+// to another shard, and took the ends out of the list, was read shard first.
 void Mirror::apply_ends(core::PartId part, const Event& e) {
   auto& at = ends_[part.v];
   if (e.stamp <= at.stamp) return;
@@ -246,21 +251,41 @@
         for (const auto& item : job.value().as_array()) items.push_back(ended_from_json(item));
       }
   ++version_;
-  at = std::move(next);
-  for (const auto& [name, jobs] : at.shards) {
-    const auto shard = find_shard(part, name);
-    if (!shard) continue;  // its records follow in the same read
-    for (const auto& [job, items] : jobs) {
-      const auto* before = run(job, *shard);
-      if (!before) continue;
-      auto run = *before;
-      if (!settle(run, items)) continue;
-      auto& written = shards_[shard->v];
-      written.needs_ends = true;
-      written.bytes += jobs::bytes_at_most(run, names_);
-      written.bytes -= jobs::bytes_at_most(*before, names_);
-      put_piece(job, *shard, std::move(run));
-    }
+  const auto before = std::exchange(at, std::move(next));
+  std::set<std::string> names;
+  for (const auto& [name, _] : before.shards) names.insert(name);
+  for (const auto& [name, _] : at.shards) names.insert(name);
+  for (const auto& name : names)
+    if (const auto shard = find_shard(part, name))  // else its records follow in the same read
+      show_ends(*shard, before.of(name), at.of(name));
+}
+
+void Mirror::show_ends(core::ShardId id, const EndedOfJobs& before, const EndedOfJobs& now) {
+  auto& shard = shards_[id.v];
+  for (const auto job : std::vector<core::JobId>(shard.jobs)) {
+    const auto was = before.find(job), is = now.find(job);
+    const bool listed = was != before.end() || is != now.end();
+    if (!listed || (was != before.end() && is != now.end() && was->second == is->second)) continue;
+    const auto* piece = run(job, id);
+    const auto shown = piece ? *piece : jobs::RunRecord{};
+    const auto unsettled = shard.unsettled.find(job);
+    shard.bytes -= jobs::bytes_at_most(shown, names_);
+    show_piece(job, id, unsettled != shard.unsettled.end() ? unsettled->second : shown);
+  }
+}
+
+void Mirror::show_piece(core::JobId id, core::ShardId shard_id, jobs::RunRecord stored) {
+  auto& shard = shards_[shard_id.v];
+  const auto& ended = ends_[shard.part.v].of(shard.name);
+  const auto items = ended.find(id);
+  auto shown = stored;
+  const bool differs = items != ended.end() && settle(shown, items->second);
+  shard.bytes += jobs::bytes_at_most(shown, names_);
+  put_piece(id, shard_id, std::move(shown));
+  if (differs) {
+    shard.unsettled[id] = std::move(stored);
+  } else {
+    shard.unsettled.erase(id);
   }
 }
 
@@ -271,6 +296,8 @@
       std::find_if(at.pieces.begin(), at.pieces.end(), [&](const Piece& p) { return p.shard == shard; });
   if (it != at.pieces.end()) {
     if (it->run == next) return;
+    at.done -= it->run.done.size();
+    at.placed -= static_cast<std::uint32_t>(it->run.entries.size());
     for (const auto& e : it->run.entries) {
       const auto machine = on_machine_.find(e.machine);
       if (machine == on_machine_.end()) continue;
@@ -281,6 +308,9 @@
     at.pieces.erase(it);
   }
   if (!next.empty()) {
+    // A task stands as done in one shard of its job only, and so does an entry.
+    at.done += next.done.size();
+    at.placed += static_cast<std::uint32_t>(next.entries.size());
     for (const auto& e : next.entries) on_machine_[e.machine].push_back({id, part, e});
     at.pieces.push_back({part, shard, std::move(next)});
   }
@@ -289,13 +319,6 @@
   } else {
     with_runs_.insert(id);
   }
-  at.placed = 0;
-  jobs::Intervals done;  // the union: a task that two shards call done is one task all the same
-  for (const auto& p : at.pieces) {
-    for (const auto& [from, to] : p.run.done.spans()) done.add(from, to);
-    at.placed += static_cast<std::uint32_t>(p.run.entries.size());
-  }
-  at.done = done.size();
   update_cancelled_with_tasks(id);
 }
 
@@ -365,6 +388,12 @@
 
 std::uint32_t Mirror::placed(core::JobId id) const { return id.v < slots_.size() ? slots_[id.v].placed : 0; }
 
+std::optional<std::uint64_t> Mirror::last_level(const std::string& label) const {
+  const auto it = last_levels_.find(label);
+  if (it == last_levels_.end()) return std::nullopt;
+  return it->second;
+}
+
 const Member* Mirror::member(const std::string& label) const {
   auto it = members_.find(label);
   return it == members_.end() ? nullptr : &it->second;
--- a/src/state/mirror.hpp
+++ b/src/state/mirror.hpp
@@ -20,7 +20,9 @@
 // What a controller's build can do with the records, said in its member record. Builds from before this said
 // nothing, which is level 0.
 inline constexpr std::uint64_t kStandingJobs = 1;
-inline constexpr std::uint64_t kRecordLevel = kStandingJobs;
+// What is read of a shard does not depend on whether it or its part's ends are read first.
+inline constexpr std::uint64_t kEndsInAnyOrder = 2;
+inline constexpr std::uint64_t kRecordLevel = kEndsInAnyOrder;
 
 struct Member {
   std::uint64_t incarnation = 0;
@@ -49,7 +51,10 @@
   std::uint64_t stamp = 0;        // 0: not there (any more)
   std::vector<core::JobId> jobs;  // that it holds something of
   std::size_t bytes = 0;          // that it takes at most, as shown here
-  bool needs_ends = false;        // as it is stored, it still names what the part's ends say has ended
+  // As stored, of those jobs of which it still names what the part's ends say has ended.
+  std::map<core::JobId, jobs::RunRecord> unsettled;
+  // What is stored here is not what is shown: the part's ends make the difference.
+  [[nodiscard]] bool needs_ends() const { return !unsettled.empty(); }
 };
 // What one shard holds of a job.
 struct Piece {
@@ -66,9 +71,12 @@
   jobs::Intervals::Span done{0, 0};  // tasks that are done by it; empty: none
   bool operator==(const Ended&) const = default;
 };
+using EndedOfJobs = std::map<core::JobId, std::vector<Ended>>;
 struct Ends {
   std::uint64_t stamp = 0;
-  std::map<std::string, std::map<core::JobId, std::vector<Ended>>> shards;  // by the shard's name
+  std::map<std::string, EndedOfJobs> shards;  // by the shard's name
+  // Those of one shard; nothing if it has none.
+  [[nodiscard]] const EndedOfJobs& of(const std::string& shard) const;
 };
 // Takes the ended entries out of the record and marks what is done. False if it names none of them.
 bool settle(jobs::RunRecord& run, const std::vector<Ended>& items);
@@ -157,6 +165,8 @@
   [[nodiscard]] std::size_t parts() const { return claims_.size(); }
   [[nodiscard]] const Member* member(const std::string& label) const;
   [[nodiscard]] const std::unordered_map<std::string, Member>& members() const { return members_; }
+  // What the newest member record of the label said, though the process may have ended since.
+  [[nodiscard]] std::optional<std::uint64_t> last_level(const std::string& label) const;
   [[nodiscard]] const TeamRecord& team(core::TeamId t) const { return teams_.at(t.v); }
   [[nodiscard]] std::uint64_t fence(core::PartId p) const { return fences_.at(p.v); }
   [[nodiscard]] const UsageRecord& usage(core::PartId p) const { return usage_.at(p.v); }
@@ -164,6 +174,10 @@
  private:
   void apply_shard(core::PartId part, const std::string& name, const Event& e);
   void apply_ends(core::PartId part, const Event& e);
+  // Shows the shard anew where its ends have changed.
+  void show_ends(core::ShardId shard, const EndedOfJobs& before, const EndedOfJobs& now);
+  // Shows what the shard holds of the job: what is stored, less what the part's ends say has ended.
+  void show_piece(core::JobId id, core::ShardId shard, jobs::RunRecord stored);
   void update_cancelled_with_tasks(core::JobId id);
   // Replaces what the shard holds of the job.
   void put_piece(core::JobId id, core::ShardId shard, jobs::RunRecord next);
@@ -191,6 +205,7 @@
   std::uint64_t cancelled_from_ = 0;
   std::unordered_map<core::MachineId, std::vector<Placed>> on_machine_;
   std::unordered_map<std::string, Member> members_;
+  std::unordered_map<std::string, std::uint64_t> last_levels_;  // by label
   std::vector<Claim> claims_;
   std::vector<TeamRecord> teams_;
   std::vector<std::uint64_t> fences_;
--- a/tests/app/limits_test.cpp
+++ b/tests/app/limits_test.cpp
@@ -1,62 +1,17 @@
 // Records written under larger limits of the state service, and what is written under small ones.
 #include <gtest/gtest.h>
 
-#include "app/one_part.hpp"
+#include "app/upgrade.hpp"
 #include "app/waiting.hpp"
 
 namespace finchrun::app {
 namespace {
 
-constexpr std::uint64_t kAttempt = 1234567;  // as long as they become in a few days
-
-// Part a.0 as the version in production left it, and the same store seen with smaller limits.
-struct Upgrade {
-  explicit Upgrade(const config::StateLimits& limits) : after(with(limits)) {}
-  static config::Settings with(const config::StateLimits& limits) {
-    auto s = one_part_settings();
-    s.state_limits = limits;
-    return s;
-  }
-  // Makes the edit durable: whoever reads the store sees it, in the order of the keys or the reverse.
-  void commit(PartWriter& writer) {
-    Edit e;
-    writer.finish(e);
-    ++stamp;
-    for (const auto& c : e.then) store[c.key] = {c.key, c.value, stamp};
-    for (auto* world : {&before, &after})
-      for (const auto& c : e.then) world->w.mirror.apply({c.key, c.value, stamp});
-    changes = e.then.size();
-    largest = largest_value(e);
-    for (const auto& c : e.then)
-      if (c.key.starts_with("runs/"))
-        largest_shard = std::max(largest_shard, boost::json::serialize(*c.value).size());
-  }
-  core::JobId job(const std::string& name, std::uint32_t tasks, bool gang = false) {
-    before.stamp = after.stamp = ++stamp;
-    after.job(name, tasks, gang);
-    store["jobs/" + name] = {
-        "jobs/" + name, jobs::to_json(*after.w.mirror.job(*after.w.names.jobs.find(name)), after.w.names),
-        stamp};
-    return before.job(name, tasks, gang);
-  }
-  // What a controller knows that starts now and reads the store.
-  [[nodiscard]] std::pair<std::uint32_t, std::uint32_t> done_and_placed(const std::string& name) const {
-    World reader(one_part_settings(), {});
-    for (const auto& [_, e] : store) reader.mirror.apply(e);
-    const auto id = *reader.names.jobs.find(name);
-    return {reader.mirror.done(id), reader.mirror.placed(id)};
-  }
-  OnePart before, after;
-  std::map<std::string, state::Event> store;
-  std::uint64_t stamp = 100;
-  std::size_t changes = 0, largest = 0;  // of the last edit
-  std::size_t largest_shard = 0;         // of all
-};
-
 struct LimitCase {
   const char* name;
   double value_kb;
   int changes;
+  std::uint32_t ended_each;  // one of so many tasks has ended when the limits are seen
 };
 class SmallLimits : public testing::TestWithParam<LimitCase> {
  protected:
@@ -82,13 +37,13 @@
   }
   ASSERT_GT(static_cast<double>(u.largest_shard), GetParam().value_kb * 1024)
       << "else there is nothing to split";
-  // Every third task has ended; for the half of the jobs that is recorded ahead of the shards.
+  const auto each = GetParam().ended_each;
   for (const auto id : ids) {
     PartWriter writer(u.before.w, u.before.part);
-    for (std::uint32_t t = 0; t < kTasks; t += 3) writer.settle({id, u.before.part, t, kAttempt, true});
+    for (std::uint32_t t = 0; t < kTasks; t += each) writer.settle({id, u.before.part, t, kAttempt, true});
     u.commit(writer);
   }
-  const std::uint32_t done = (kTasks + 2) / 3;
+  const std::uint32_t done = (kTasks + each - 1) / each;
   int steps = 0;
   for (; steps < 200; ++steps) {
     PartWriter writer(u.after.w, u.after.part);
@@ -132,6 +87,59 @@
     EXPECT_EQ(u.done_and_placed("req-" + std::to_string(i)), std::pair(kTasks, 0u));
 }
 
+// While a controller of the version in production may still read the records, no step makes it count a task
+// as done twice, whichever key it is told of first. Afterwards what is done may move.
+TEST_P(SmallLimits, TheVersionInProductionNeverCountsATaskTwice) {
+  auto settings = Upgrade::with(limits());
+  settings.members = {{"perch-1", "a", {}}};
+  Upgrade u(settings);
+  const auto member = [&](const char* record) {
+    u.after.w.mirror.apply({"members/perch-1", boost::json::parse(record), ++u.stamp});
+  };
+  member(R"({"inc":3})");
+  constexpr std::uint32_t kTasks = 40;
+  std::vector<core::JobId> ids;
+  for (int i = 0; i < 12; ++i) ids.push_back(u.job("req-" + std::to_string(i), kTasks));
+  for (const auto id : ids) {
+    PartWriter writer(u.before.w, u.before.part);
+    ASSERT_TRUE(writer.add(id, u.before.entries(kTasks, kAttempt)));
+    u.commit(writer);
+  }
+  std::uint32_t done = 0;
+  const auto shrink = [&] {
+    for (int steps = 0; steps < 200; ++steps) {
+      PartWriter writer(u.after.w, u.after.part);
+      if (!writer.shrink()) return steps;
+      u.commit(writer);
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        const auto name = "req-" + std::to_string(i);
+        EXPECT_EQ(u.shards_first.done(name), done) << name << " step " << steps;
+        EXPECT_EQ(u.ends_first.done(name), done) << name << " step " << steps;
+      }
+    }
+    return 200;
+  };
+  for (std::uint32_t t = 0; t < kTasks; t += GetParam().ended_each, ++done)
+    for (const auto id : ids) {
+      PartWriter writer(u.before.w, u.before.part);
+      ASSERT_TRUE(writer.settle({id, u.before.part, t, kAttempt, true}));
+      u.commit(writer);
+    }
+  const int steps = shrink();
+  EXPECT_LT(steps, 200);
+  member(R"({"inc":4,"level":2})");
+  for (int left = 0; left < 200; ++left) {
+    PartWriter writer(u.after.w, u.after.part);
+    if (!writer.shrink()) break;
+    u.commit(writer);
+  }
+  const PartWriter last(u.after.w, u.after.part);
+  EXPECT_FALSE(last.ends_too_long());
+  for (const auto shard : u.after.w.mirror.shards(u.after.part)) EXPECT_TRUE(last.fits(shard));
+  for (std::size_t i = 0; i < ids.size(); ++i)
+    EXPECT_EQ(u.done_and_placed("req-" + std::to_string(i)), std::pair(done, kTasks - done));
+}
+
 // A placement is recorded as a whole or not at all, within the limits; a gang that is accepted can be
 // recorded.
 TEST_P(SmallLimits, ALargestGangIsRecordedAsAWhole) {
@@ -151,10 +159,13 @@
   EXPECT_EQ(u.done_and_placed("req-2"), std::pair(0u, most));
 }
 INSTANTIATE_TEST_SUITE_P(Table, SmallLimits,
-                         testing::Values(LimitCase{"two_kb_five_changes", 2, 5},
-                                         LimitCase{"two_kb_sixteen_changes", 2, 16},
-                                         LimitCase{"four_kb_four_changes", 4, 4},
-                                         LimitCase{"one_kb_sixteen_changes", 1, 16}),
+                         testing::Values(LimitCase{"two_kb_five_changes", 2, 5, 3},
+                                         LimitCase{"two_kb_sixteen_changes", 2, 16, 3},
+                                         LimitCase{"four_kb_four_changes", 4, 4, 3},
+                                         LimitCase{"one_kb_sixteen_changes", 1, 16, 3},
+                                         LimitCase{"two_kb_five_changes_few_ended", 2, 5, 20},
+                                         LimitCase{"four_kb_sixteen_changes_few_ended", 4, 16, 20},
+                                         LimitCase{"one_kb_sixteen_changes_few_ended", 1, 16, 20}),
                          [](const auto& info) { return std::string(info.param.name); });
 
 // More than one transaction can hold of 1 KiB values: it waits until enough of its tasks have ended, which
@@ -213,5 +224,46 @@
   EXPECT_EQ(u.done_and_placed("req-1"), std::pair(50u, 50u));
 }
 
+// A job has left a shard of which ends that can't be rewritten yet still name it. More of it is placed where
+// there is room: not there, or the ends would be taken for its own once more.
+TEST(SmallLimits, AJobThatHasLeftAShardStaysAwayWhileEndsNameItThere) {
+  Upgrade u({100, 20, 2, 5});
+  auto& w = u.after.w;
+  const auto left = u.job("req-1", 400);
+  u.job("req-2", 400);
+  // Shard 0 is empty; what is done of req-1 fills shard 1; shard 2 needs ends that are too long for one
+  // value.
+  boost::json::array done, placed, ended;
+  for (std::uint32_t t = 0; t < 300; t += 2) done.push_back(boost::json::array{t, t + 1});
+  for (std::uint32_t t = 0; t < 400; t += 2) {
+    placed.push_back(t);
+    ended.push_back(boost::json::array{t, 7, t, t + 1});
+  }
+  using Object = boost::json::object;
+  const auto shard = [](const char* job, Object run) {
+    return Object{{"jobs", Object{{job, std::move(run)}}}};
+  };
+  const boost::json::array nothing, machine{"host-100000", 1, placed},
+      attempt{7, boost::json::array{machine}};
+  w.mirror.apply({"runs/a.0/0", Object{{"jobs", Object{}}}, 300});
+  w.mirror.apply({"runs/a.0/1", shard("req-1", {{"p", nothing}, {"d", done}}), 300});
+  w.mirror.apply({"runs/a.0/2", shard("req-2", {{"p", boost::json::array{attempt}}, {"d", nothing}}), 300});
+  w.mirror.apply({"ends/a.0",
+                  Object{{"0", Object{{"req-1", boost::json::array{boost::json::array{0, 7, 0, 1}}}}},
+                         {"2", Object{{"req-2", ended}}}},
+                  300});
+  PartWriter writer(w, u.after.part);
+  ASSERT_TRUE(writer.ends_too_long());
+  ASSERT_EQ(w.mirror.done(left), 150u);
+  auto more = u.after.entries(1, kAttempt);
+  more[0].task = 399;
+  ASSERT_TRUE(writer.add(left, more));
+  Edit e;
+  writer.finish(e);
+  for (const auto& c : e.then) w.mirror.apply({c.key, c.value, 301});
+  EXPECT_EQ(w.mirror.done(left), 150u);
+  EXPECT_EQ(w.mirror.placed(left), 1u);
+}
+
 }  // namespace
 }  // namespace finchrun::app
--- /dev/null
+++ b/tests/app/production_reader.hpp
@@ -0,0 +1,63 @@
+// Reads the records of what runs as the version in production does, so that what is written now can be
+// checked for what that version would make of it.
+#pragma once
+
+#include "state/mirror.hpp"
+
+namespace finchrun::app {
+
+// Ends are taken into a shard for good when they are read, or when the shard is. So what it makes of a
+// transaction may depend on the order in which it is told of the keys.
+class ProductionReader {
+ public:
+  explicit ProductionReader(jobs::Names& names) : names_(names) {}
+
+  void read(const state::Event& e) {
+    if (e.key.starts_with("runs/")) read_shard(e.key.substr(e.key.rfind('/') + 1), *e.value);
+    if (e.key.starts_with("ends/")) read_ends(*e.value);
+  }
+  [[nodiscard]] std::uint32_t done(const std::string& job) const {
+    std::uint32_t sum = 0;
+    for (const auto& [_, runs] : shards_)
+      if (const auto run = runs.find(job); run != runs.end()) sum += run->second.done.size();
+    return sum;
+  }
+
+ private:
+  using Runs = std::map<std::string, jobs::RunRecord>;  // by job
+  using Items = std::map<std::string, std::vector<state::Ended>>;
+
+  void read_shard(const std::string& name, const boost::json::value& value) {
+    Runs next;
+    for (const auto& item : value.at("jobs").as_object())
+      next[std::string(item.key())] = jobs::run_from_json(item.value(), names_);
+    shards_[name] = std::move(next);
+    settle(name);
+  }
+  void read_ends(const boost::json::value& value) {
+    ends_.clear();
+    for (const auto& shard : value.as_object())
+      for (const auto& job : shard.value().as_object())
+        for (const auto& item : job.value().as_array()) {
+          const auto& a = item.as_array();
+          const auto number = [&](std::size_t i) { return a.at(i).to_number<std::uint32_t>(); };
+          state::Ended ended{number(0), a.at(1).to_number<std::uint64_t>(), {0, 0}};
+          if (a.size() > 2) ended.done = {number(2), number(3)};
+          ends_[std::string(shard.key())][std::string(job.key())].push_back(ended);
+        }
+    for (const auto& [name, _] : ends_) settle(name);
+  }
+  void settle(const std::string& name) {
+    const auto shard = shards_.find(name);
+    if (shard == shards_.end()) return;
+    for (const auto& [job, items] : ends_[name])
+      if (const auto run = shard->second.find(job); run != shard->second.end())
+        state::settle(run->second, items);
+  }
+
+  jobs::Names& names_;
+  std::map<std::string, Runs> shards_;
+  std::map<std::string, Items> ends_;
+};
+
+}  // namespace finchrun::app
--- a/tests/state/mirror_test.cpp
+++ b/tests/state/mirror_test.cpp
@@ -96,6 +96,27 @@
   EXPECT_EQ(b.mirror.on_machine(m).size(), 2u);
 }
 
+// A task ends and is noted ahead of its shard; then what is done moves to another shard and the note goes, in one
+// transaction. Read shard first, the note was taken into the shard once more, and the task counted as done twice.
+TEST(Mirror, ShowsTheSameInWhicheverOrderATransactionIsRead) {
+  std::vector<Event> moved{{"runs/a.0/0", shard(R"({"p":[[7,[["m",1,[1]]]]],"d":[]})"), 12},
+                           {"runs/a.0/1", shard(R"({"p":[],"d":[[0,1]]})"), 12},
+                           {"ends/a.0", run("{}"), 12}};
+  const auto by_key = [](const Event& a, const Event& b) { return a.key < b.key; };
+  std::sort(moved.begin(), moved.end(), by_key);
+  do {
+    Bed b;
+    b.mirror.apply({"runs/a.0/0", shard(R"({"p":[[7,[["m",1,[0,1]]]]],"d":[]})"), 10});
+    b.mirror.apply({"ends/a.0", run(R"({"0":{"req-1":[[0,7,0,1]]}})"), 11});
+    EXPECT_EQ(b.mirror.done(core::JobId{0}), 1u);
+    EXPECT_EQ(b.mirror.placed(core::JobId{0}), 1u);
+    for (const auto& e : moved) b.mirror.apply(e);
+    EXPECT_EQ(b.mirror.done(core::JobId{0}), 1u) << "read first: " << moved.front().key;
+    EXPECT_EQ(b.mirror.placed(core::JobId{0}), 1u);
+    EXPECT_FALSE(b.mirror.shard(core::ShardId{0}).needs_ends());
+  } while (std::next_permutation(moved.begin(), moved.end(), by_key));
+}
+
 TEST(Mirror, UnreadableRecordsAreNeverTakenForAbsence) {
   Bed b;
   b.mirror.apply({"runs/a.0/0", shard(kPlaced), 10});
