A worker that has lost the owner of its part is relayed at once

By the log no report reached perch-2, the owner of dublin-floor.0, between 297 and 307 s, and its lost tasks were placed again at 318 s. Cause: workers wait 4 s for the owner's answer and go to the next controller, which sent them to the owner once more; the second time-out was longer than what was left of a 10 s lease. A worker that obeys the owner's present term and comes to another controller has lost its way, so its report is relayed at once; its next one is sent to the owner, so that whoever learnt the term from a direct order goes there.

Ruled out: the state service (the owner recorded and placed meanwhile) and a takeover (no claim between 294 and 317 s).

--- a/src/app/peer_loop.cpp
+++ b/src/app/peer_loop.cpp
@@ -146,8 +146,8 @@
   --announcements_in_flight_;
 }
 
-// The member to relay a report to: the owner of the machine's part, when its worker was sent there a moment
-// ago and is here again, so that it seems not to get there by itself.
+// The member to relay a report to: the owner of the machine's part, when the worker seems not to get there by
+// itself. Nothing if it should go there.
 std::optional<std::size_t> Controller::relay_to(const std::string& body) {
   const auto parsed = wire::parse_report(body);
   const auto* r = std::get_if<wire::Report>(&parsed);
@@ -159,9 +159,16 @@
     if (!part) return std::nullopt;
     auto& m = w.fleet.intern(w.names, r->machine);
     if (m.first_seen == core::TimePoint{}) m.first_seen = now;
+    // It was sent there a moment ago and is here again.
     const bool back = core::since(m.sent_away, now) < 3 * w.s.report_s + 8;
-    m.sent_away = now;
-    for (std::size_t i = 0; back && i < settings_.members.size(); ++i)
+    // It obeys the owner's present term and has come here all the same: it has lost its way to the owner.
+    // Sent there once more, it waited for a second time-out, and a lease of 10 s ran out meanwhile.
+    const bool lost_owner = r->token >= w.token(*part) && !m.relayed;
+    // Whoever has only learnt the term from a direct order goes to the owner with its next report.
+    m.relayed = lost_owner && !back;
+    if (!m.relayed) m.sent_away = now;
+    if (!back && !lost_owner) return std::nullopt;
+    for (std::size_t i = 0; i < settings_.members.size(); ++i)
       if (settings_.members[i].label == w.mirror.claim(*part).owner) return i;
     return std::nullopt;
   });
--- a/src/worker/fleet.hpp
+++ b/src/worker/fleet.hpp
@@ -42,6 +42,7 @@
   core::TimePoint last_report{};  // that its worker sent by itself
   core::TimePoint last_push{};
   core::TimePoint sent_away{};  // when we last told its worker to report to the owner
+  bool relayed = false;         // its last report to us was relayed though its worker had not been sent away
   std::optional<double> notice_s;
   // Since when nothing shows that what we say arrives there, though its reports come. Such a machine gets
   // nothing new: its tasks would wait on it in vain.
--- a/tests/app/meetings_test.cpp
+++ b/tests/app/meetings_test.cpp
@@ -120,6 +120,25 @@
                                                 [](Cluster& c) { c.crash(other(c.busiest()), 0.3); }, false}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// A controller hears none of its machines for longer than a lease, while everything else reaches it. Their
+// workers wait for each time-out, and were sent to the owner once more by whoever they came to: their leases
+// ran out.
+TEST(CutFromWorkers, CostsNoTasksWhileAnotherControllerRelays) {
+  for (const std::uint32_t seed : {21u, 22u, 23u}) {
+    Cluster c(seed);
+    for (int i = 0; i < 8; ++i) c.at(5, [&c] { c.submit(1, false, 1, 60, "blue", "normal"); });
+    c.at(20, [&c] {
+      const auto owner = c.busiest();
+      for (const char* zone : {"zone a", "zone b"}) c.cut.insert({owner, zone});
+    });
+    c.at(50, [&c] { c.cut.clear(); });
+    c.run(120);
+    expect_rules(c);
+    EXPECT_EQ(c.killed_by_lease, 0u) << "seed " << seed;
+    EXPECT_EQ(finished(c), 8u) << "seed " << seed;
+  }
+}
+
 // What users send that is odd, and what they are told; by every controller the same.
 struct Odd {
   const char* name;
