Overdue machines are not waited for; room for bursts of submissions on other nodes

- hire counted a machine as room on its way for four times its type's boot time; it is two now (usual boots take up to 1.5), by the cloud's age of the machine where it is listed as starting.
What comes up after all is used or given back.
AMachineThatIsOverdueIsNotWaitedFor fails with four.

--- a/src/app/cloud_loop.cpp
+++ b/src/app/cloud_loop.cpp
@@ -7,6 +7,18 @@
 
 namespace finchrun::app {
 
+namespace {
+
+// A machine that has been starting for much longer than its type usually takes is not waited for any more:
+// the work is rented for elsewhere. If it comes up after all it is used, or given back when idle.
+bool is_overdue(const worker::Machine& m, const cloud::Flavor& flavor, core::TimePoint now) {
+  constexpr double kBootsWaitedFor = 2;  // usual boots take up to 1.5 times the type's boot time
+  const auto since = m.status == "starting" ? m.starting_since : m.first_seen;
+  return core::since(since, now) > kBootsWaitedFor * flavor.boot_s;
+}
+
+}  // namespace
+
 asio::awaitable<void> Controller::cloud_loop() {
   core::TimePoint next_list{}, next_flavors{}, next_hire{};
   while (true) {
@@ -195,7 +207,7 @@
       spare_spot.push_back({m.part, m.type, true, free});
       continue;
     }
-    if (core::since(m.first_seen, now) > 4 * flavor->boot_s) continue;
+    if (is_overdue(m, *flavor, now)) continue;
     coming.push_back({m.part, m.type, m.spot, flavor->size});
     if (m.spot) spare_spot.push_back(coming.back());
   }
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -91,7 +91,7 @@
               core::Steady::now()) {}
 
 void Store::use_share_of_writes(double share) {
-  constexpr double kLeastBurst = 4;  // a few submissions that come together
+  constexpr double kLeastBurst = 8;  // submissions that come together
   const double rate = limits_.changes_per_s * std::min(1.0, share);
   writes_.resize(rate, std::max(kLeastBurst, rate));
 }
--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -202,6 +202,22 @@
   expect_rules(c);
 }
 
+// A machine was rented for a gang and never came up: it counted as room on its way for four times its usual
+// boot.
+TEST(Cluster, AMachineThatIsOverdueIsNotWaitedFor) {
+  Cluster c(5, 3, 1);
+  for (int i = 0; i < 2; ++i) c.at(8, [&c] { c.submit(1, true, 4, 200, "blue", "normal"); });
+  c.at(14, [&c] {
+    c.cloud.never_up = 1;
+    c.submit(1, true, 4, 2, "red", "normal");
+  });
+  constexpr double kRoundsAndBoots = 14 + 2 + 2 * 5 + 2 + 5 + 4;
+  c.run(kRoundsAndBoots);
+  EXPECT_EQ(c.cloud.hosts.size(), 4u) << "two from the start, the one that never comes, one more";
+  EXPECT_EQ(finished(c), 1u);
+  expect_rules(c);
+}
+
 // The check itself: while nobody can prove anything, no question is answered, and that is seen.
 TEST(Cluster, AJobNobodyAnswersForIsSeenAsForgotten) {
   Cluster c(3);
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -255,7 +255,8 @@
     });
     if (names.empty()) {
       if (in_zone >= (spot ? spot_capacity : capacity)) return {503, R"({"error":"no capacity"})"};
-      names.push_back(add(zone, now, 5));
+      constexpr double kBootS = 5, kNever = 1e6;
+      names.push_back(add(zone, now, never_up-- > 0 ? kNever : kBootS));
       hosts[names.back()].spot = spot;
     }
     json::array out;
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -124,6 +124,7 @@
   bool outage = false;
   int capacity = 4;       // per zone
   int spot_capacity = 0;  // the same, of spot machines
+  int never_up = 0;       // so many of the machines rented next stay starting
   std::string add(const std::string& zone, TimePoint now, double boot_s);
 
  private:
