Tests of limits: placing the twelve jobs stands in one place

Two cases of SmallLimits set up the same jobs line for line. Run: format check, the 24 tests of SmallLimits with sanitizers; nothing else was run again.

--- a/tests/app/limits_test.cpp
+++ b/tests/app/limits_test.cpp
@@ -18,6 +18,16 @@
   [[nodiscard]] static config::StateLimits limits() {
     return {100, 20, GetParam().value_kb, GetParam().changes};
   }
+  static constexpr std::uint32_t kTasks = 40;
+  // Twelve jobs, req-0 and so on, of which production has placed every task.
+  static void place_jobs(Upgrade& u, std::vector<core::JobId>& ids) {
+    for (int i = 0; i < 12; ++i) ids.push_back(u.job("req-" + std::to_string(i), kTasks));
+    for (const auto id : ids) {
+      PartWriter writer(u.before.w, u.before.part);
+      ASSERT_TRUE(writer.add(id, u.before.entries(kTasks, kAttempt)));
+      u.commit(writer);
+    }
+  }
   static void expect_within(const Upgrade& u) {
     EXPECT_LE(static_cast<double>(u.largest), GetParam().value_kb * 1024);
     EXPECT_LE(u.changes, static_cast<std::size_t>(GetParam().changes));
@@ -27,14 +37,8 @@
 // Nothing is lost or counted twice at any step, every write is within the limits, and in the end all is.
 TEST_P(SmallLimits, LargerShardsAreSplitStepByStep) {
   Upgrade u(limits());
-  constexpr std::uint32_t kTasks = 40;
   std::vector<core::JobId> ids;
-  for (int i = 0; i < 12; ++i) ids.push_back(u.job("req-" + std::to_string(i), kTasks));
-  for (const auto id : ids) {
-    PartWriter writer(u.before.w, u.before.part);
-    ASSERT_TRUE(writer.add(id, u.before.entries(kTasks, kAttempt)));
-    u.commit(writer);
-  }
+  ASSERT_NO_FATAL_FAILURE(place_jobs(u, ids));
   ASSERT_GT(static_cast<double>(u.largest_shard), GetParam().value_kb * 1024)
       << "else there is nothing to split";
   const auto each = GetParam().ended_each;
@@ -97,14 +101,8 @@
     u.after.w.mirror.apply({"members/perch-1", boost::json::parse(record), ++u.stamp});
   };
   member(R"({"inc":3})");
-  constexpr std::uint32_t kTasks = 40;
   std::vector<core::JobId> ids;
-  for (int i = 0; i < 12; ++i) ids.push_back(u.job("req-" + std::to_string(i), kTasks));
-  for (const auto id : ids) {
-    PartWriter writer(u.before.w, u.before.part);
-    ASSERT_TRUE(writer.add(id, u.before.entries(kTasks, kAttempt)));
-    u.commit(writer);
-  }
+  ASSERT_NO_FATAL_FAILURE(place_jobs(u, ids));
   std::uint32_t done = 0;
   const auto shrink = [&] {
     for (int steps = 0; steps < 200; ++steps) {
