Simulated cluster: chosen late transactions, slow reads after an outage, unlisted machines

Change: Cluster::withhold_write and execute_withheld_writes, recover_store with Faults::slow_read_delay_s, add_unlisted_machine and remove_machine. Random draws of existing scenarios are in the same order as before.

--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 #include "sim/network.hpp"
 
@@ -79,11 +80,45 @@
 }
 void Cluster::after(double seconds, std::function<void()> action) { post(seconds, std::move(action)); }
 
+void Cluster::recover_store() {
+  constexpr double kSlowReadsS = 0.6;
+  slow_reads_until_ = now_ + core::to_duration(kSlowReadsS);
+  store.recover(now_);
+}
+
+void Cluster::execute_withheld_writes() {
+  for (const auto& write : std::exchange(withheld_writes_, {})) write();
+}
+
+std::string Cluster::add_unlisted_machine(const std::string& zone, std::size_t controller) {
+  const auto name = cloud.add_machine(zone, now_, 0);
+  cloud.hosts[name].spot = cloud.hosts[name].unlisted = true;
+  agents[name] = new_agent(cloud.hosts[name]);
+  agents[name].controller = controller;
+  return name;
+}
+
+void Cluster::remove_machine(const std::string& name) {
+  cloud.hosts.erase(name);
+  agents.erase(name);
+}
+
 void Cluster::run(double seconds) {
   const auto end = now_ + core::to_duration(seconds);
   while (now_ < end) step();
 }
 
+Agent Cluster::new_agent(const CloudService::Host& host) const {
+  Agent agent;
+  agent.name = host.name;
+  agent.endpoint = host.endpoint;
+  agent.type = host.type;
+  agent.zone = host.zone;
+  agent.spot = host.spot;
+  agent.last_answered = agent.next_heartbeat = now_;
+  return agent;
+}
+
 void Cluster::step() {
   now_ += kTimeStep;
   core::SteadyClock::simulate(now_);
@@ -98,15 +133,7 @@
     for (int idle_polls = 0; idle_polls < 2;) idle_polls = process->io.poll() > 0 ? 0 : idle_polls + 1;
   }
   for (const auto& [name, host] : cloud.hosts) {
-    if (agents.contains(name) || host.ready_at > now_) continue;
-    Agent agent;
-    agent.name = name;
-    agent.endpoint = host.endpoint;
-    agent.type = host.type;
-    agent.zone = host.zone;
-    agent.spot = host.spot;
-    agent.last_answered = agent.next_heartbeat = now_;
-    agents[name] = agent;
+    if (!agents.contains(name) && host.ready_at <= now_) agents[name] = new_agent(host);
   }
   for (auto& [_, agent] : agents) step_agent(agent);
   check_rules();
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -23,6 +23,8 @@
   // A transaction gets no response and is executed 2 to 12 s later, after newer ones.
   double late_write_probability = 0;
   double store_delay_s = 0;  // additional delay of the key-value store
+  // Additional delay of the reads of the store's changes that are sent right after `recover_store`.
+  double slow_read_delay_s = 0;
 };
 
 /// The agents' intervals and deadlines in the settings.
@@ -55,6 +57,19 @@
   // Sends a user's request once to one controller, and calls `done` with the status and body of the response.
   void request_once(std::size_t controller, const std::string& method, const std::string& target,
                     const std::string& body, std::function<void(int, std::string)> done);
+  // Called with each transaction. If it returns true, the transaction gets no response and is held back until
+  // `execute_withheld_writes`.
+  std::function<bool(const json::object&)> withhold_write;
+  // Executes the transactions that were held back, in the order in which they were sent.
+  void execute_withheld_writes();
+  [[nodiscard]] std::size_t withheld_write_count() const { return withheld_writes_.size(); }
+  // Ends an outage of the key-value store. The next reads of its changes are slow by `slow_read_delay_s`.
+  void recover_store();
+  // Adds a spot instance that is up at once and that no list of the cloud shows. Its agent sends its first
+  // heartbeat to `controller`. Returns its name.
+  std::string add_unlisted_machine(const std::string& zone, std::size_t controller);
+  // Removes a machine with everything on it, without notice.
+  void remove_machine(const std::string& name);
   // Returns the controller that leads the most partitions according to the key-value store.
   [[nodiscard]] std::size_t busiest_leader() const;
   // The digest of all simulated messages so far and their times, which is equal for two builds that behave
@@ -95,6 +110,7 @@
   double delay();
   bool chance(double probability);
   void boot(std::size_t controller);
+  [[nodiscard]] Agent new_agent(const CloudService::Host& host) const;
   void step();
   // Agents, in agents.cpp.
   void step_agent(Agent& agent);
@@ -110,6 +126,8 @@
   void send_submission(const std::string& id, int tries);
   void poll_status(const std::string& id);
   // The network, in network.cpp.
+  bool delay_write(std::size_t controller, const config::Endpoint& to, const std::string& body);
+  [[nodiscard]] double store_delay_s(const std::string& target) const;
   void send_request(std::size_t controller, http::Request request,
                     std::function<void(std::optional<http::Response>)> done, double timeout_s);
   ClientResponse deliver(std::size_t controller, const config::Endpoint& to, http::Verb verb,
@@ -143,6 +161,8 @@
   std::multimap<TimePoint, std::function<void()>> events_;
   std::vector<std::unique_ptr<ControllerProcess>> processes_;
   std::vector<std::uint32_t> boots_;
+  std::vector<std::function<void()>> withheld_writes_;
+  TimePoint slow_reads_until_;
   int next_job_ = 0;
   TrafficDigest traffic_;
 };
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -19,19 +19,14 @@
   const bool lost = cluster.chance(faults.request_loss_probability) || !cluster.can_reach(controller, to);
   const bool late = cluster.chance(faults.late_request_probability);
   const bool to_store = to.host == kStoreHost;
-  if (to_store && target == "/commit" && !cluster.refused_by_store.contains(controller) &&
-      cluster.chance(faults.late_write_probability)) {
-    const double delay_s = std::uniform_real_distribution<double>(2, 12)(cluster.random);
-    cluster.post(delay_s, [body, &cluster = cluster, controller = controller, to = to] {
-      cluster.deliver(controller, to, http::Verb::post, "/commit", body);
-    });
+  if (to_store && target == "/commit" && cluster.delay_write(controller, to, body)) {
     boost::system::error_code ec;
     co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_return ClientResponse{};
   }
   const double arrival_delay_s =
       (late ? core::Seconds(timeout).count() + 20 * cluster.delay() : cluster.delay()) +
-      (to_store ? faults.store_delay_s : 0);
+      (to_store ? cluster.store_delay_s(target) : 0);
   if (!lost) {
     cluster.post(arrival_delay_s,
                  [pending, verb, target, body, &cluster = cluster, controller = controller, to = to] {
@@ -51,6 +46,24 @@
   co_return pending->answer;
 }
 
+// Returns true if the transaction gets no response and is executed late.
+bool Cluster::delay_write(std::size_t controller, const config::Endpoint& to, const std::string& body) {
+  if (refused_by_store.contains(controller)) return false;
+  auto execute = [this, body, controller, to] { deliver(controller, to, http::Verb::post, "/commit", body); };
+  if (withhold_write && !store.outage && withhold_write(json::parse(body).as_object())) {
+    withheld_writes_.push_back(std::move(execute));
+    return true;
+  }
+  if (!chance(faults.late_write_probability)) return false;
+  post(std::uniform_real_distribution<double>(2, 12)(random), std::move(execute));
+  return true;
+}
+
+double Cluster::store_delay_s(const std::string& target) const {
+  const bool slow_read = target.starts_with("/follow") && now_ < slow_reads_until_;
+  return faults.store_delay_s + (slow_read ? faults.slow_read_delay_s : 0);
+}
+
 asio::awaitable<std::optional<std::string>> Cluster::PeerConnection::call(std::string frame,
                                                                           std::chrono::milliseconds timeout) {
   struct Pending {
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -239,7 +239,7 @@
   char name[32];
   std::snprintf(name, sizeof name, "host-%06d", next_machine_number_);
   const std::string endpoint = "10.1.0." + std::to_string(next_machine_number_ + 1) + ":9000";
-  hosts[name] = {name, endpoint, "g4", zone, false, now, now + core::to_duration(boot_s), false};
+  hosts[name] = {name, endpoint, "g4", zone, false, now, now + core::to_duration(boot_s), false, false};
   ++next_machine_number_;
   return name;
 }
@@ -247,6 +247,7 @@
 json::object CloudService::list(TimePoint now) {
   json::array result;
   for (const auto& [name, host] : hosts) {
+    if (host.unlisted) continue;
     const char* status = host.ready_at > now ? "starting" : host.dead ? "failed" : "running";
     result.push_back(json::object{{"nameId", name},
                                   {"endpoint", host.endpoint},
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -130,6 +130,7 @@
     bool spot = false;
     TimePoint rented, ready_at;
     bool dead = false;
+    bool unlisted = false;  // in no list
   };
   std::map<std::string, Host> hosts;
   std::function<void(const std::string&)> on_release;
