Fences: an unanswered write stays marked while the same fencing token holds

Cause: a commit without an answer marks its partition's fence as due, and nothing is placed until the fence has moved. WriteFences::move_due_fences dropped the mark whenever ControllerState::leads was false. It is also false between the reload of all records after such an outage and the first read of changes, under the same fencing token. A round in that moment lost the mark; the task was placed again, and the first placement, applied late, still met its compares. Change: the mark is the fencing token under which the commit was sent. It ends with a move of the fence under that token or with a newer token in the records, and no longer depends on whether the process leads at the moment. ControllerState::may_decide_for is the one place that says when a partition may be decided for. The log names the token in 'fence due' and 'fence moved', and 'state current' ends the time of a reload.

--- a/src/assignments/write_fences.cpp
+++ b/src/assignments/write_fences.cpp
@@ -11,6 +11,19 @@
 
 using state::CommitStatus;
 
+namespace {
+
+// Returns the fencing token that the transaction compares; without one, the newest that is known here.
+std::uint64_t compared_token(const ControllerState& state, core::PartitionId partition,
+                             const std::vector<state::Compare>& compares) {
+  const auto key = state::keys::leadership(state.names.partitions.name(partition));
+  const auto found =
+      std::find_if(compares.begin(), compares.end(), [&](const auto& compare) { return compare.key == key; });
+  return found == compares.end() ? state.fencing_token(partition) : found->revision;
+}
+
+}  // namespace
+
 std::vector<core::PartitionId> fenced_partitions(const ControllerState& state,
                                                  const std::vector<state::Compare>& compares) {
   std::vector<core::PartitionId> partitions;
@@ -28,10 +41,10 @@
   std::vector<FenceMove> moves;
   for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
     const core::PartitionId partition{index};
-    if (!state.fence_due[index] || !state.leads(partition)) continue;
+    if (!state.is_fence_due(partition) || !state.leads(partition)) continue;
     const auto& name = state.names.partitions.name(partition);
-    FenceMove move{partition, {}};
-    move.transaction.compares.push_back({state::keys::leadership(name), state.fencing_token(partition)});
+    FenceMove move{partition, state.fencing_token(partition), {}};
+    move.transaction.compares.push_back({state::keys::leadership(name), move.fencing_token});
     move.transaction.writes.push_back(
         {state::keys::fence(name), state::encode_fence(state.cache.newest_revision())});
     moves.push_back(std::move(move));
@@ -39,42 +52,44 @@
   return moves;
 }
 
+void mark_fences_due(ControllerState& state, const std::vector<state::Compare>& compares) {
+  for (const auto partition : fenced_partitions(state, compares)) {
+    const auto token = compared_token(state, partition, compares);
+    auto& unanswered_write_token = state.fences[partition.index].unanswered_write_token;
+    unanswered_write_token = std::max(unanswered_write_token, token);
+    spdlog::warn("fence due partition={} fencing_token={} reason=commit_unanswered",
+                 state.names.partitions.name(partition), token);
+  }
+}
+
+void mark_fence_moved(ControllerState& state, const FenceMove& move, std::uint64_t revision) {
+  auto& fence = state.fences[move.partition.index];
+  fence.moved_at_revision = revision;
+  // A write under a newer token may have been left without an answer meanwhile.
+  if (fence.unanswered_write_token <= move.fencing_token) fence.unanswered_write_token = 0;
+}
+
 void WriteFences::mark_due(const std::vector<state::Compare>& compares) {
-  const auto due = state_.with([&](ControllerState& state) {
-    std::vector<std::string> names;
-    for (const auto partition : fenced_partitions(state, compares)) {
-      state.fence_due[partition.index] = 1;
-      names.push_back(state.names.partitions.name(partition));
-    }
-    return names;
-  });
-  for (const auto& name : due) spdlog::warn("fence due partition={} reason=commit_unanswered", name);
+  state_.with([&](ControllerState& state) { mark_fences_due(state, compares); });
 }
 
 asio::awaitable<void> WriteFences::move_due_fences() {
-  auto moves = state_.with([](ControllerState& state) {
-    for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
-      // Once another leader has a newer fencing token, the unanswered write fails by its own compares.
-      if (!state.leads(core::PartitionId{index})) state.fence_due[index] = 0;
-    }
-    return plan_fence_moves(state);
-  });
-  for (auto& move : moves) {
+  const auto moves = state_.with([](const ControllerState& state) { return plan_fence_moves(state); });
+  for (const auto& move : moves) {
     if (!store_.try_spend_writes(1, state::KeyValueStore::WritePurpose::records)) co_return;
-    const auto result = co_await follower_.commit(std::move(move.transaction));
+    state::Transaction transaction = move.transaction;
+    const auto result = co_await follower_.commit(std::move(transaction));
     const bool moved = result.outcome == CommitStatus::done;
     const auto partition = state_.with([&](ControllerState& state) {
-      if (moved) {
-        state.fence_due[move.partition.index] = 0;
-        state.fence_move_revision[move.partition.index] = result.revision;
-      }
+      if (moved) mark_fence_moved(state, move, result.revision);
       return state.names.partitions.name(move.partition);
     });
     if (!moved) {
       log_refusal("fence not moved", partition, result);
       continue;
     }
-    spdlog::info("fence moved partition={} revision={}", partition, result.revision);
+    spdlog::info("fence moved partition={} fencing_token={} revision={}", partition, move.fencing_token,
+                 result.revision);
     follower_.request_read();
   }
 }
--- a/src/assignments/write_fences.hpp
+++ b/src/assignments/write_fences.hpp
@@ -15,6 +15,7 @@
 /// The transaction that moves one partition's fence.
 struct FenceMove {
   core::PartitionId partition;
+  std::uint64_t fencing_token = 0;  ///< under which the fence is moved
   state::Transaction transaction;
 };
 
@@ -24,6 +25,11 @@
 /// Returns the moves of the due fences of partitions that this controller leads. Each move compares only the
 /// fencing token, so that it succeeds whether or not the unanswered write was applied.
 std::vector<FenceMove> plan_fence_moves(const ControllerState& state);
+/// Marks the fences among the compares of an unanswered commit as due, under the fencing token that the
+/// commit compares. Under a newer token, the commit fails by that compare.
+void mark_fences_due(ControllerState& state, const std::vector<state::Compare>& compares);
+/// Records that the fence was moved at this revision, so that unanswered writes under its token fail.
+void mark_fence_moved(ControllerState& state, const FenceMove& move, std::uint64_t revision);
 
 /// Every write of a leader compares its partition's fence. An unanswered commit may still be applied at any
 /// later time, so no decision that it could invalidate (rules quota, ran_twice) is taken until the fence has
@@ -34,7 +40,7 @@
               coordination::StateFollower& follower)
       : state_(state), store_(store), follower_(follower) {}
 
-  /// Marks the fences among the compares of an unanswered commit as due.
+  /// See mark_fences_due.
   void mark_due(const std::vector<state::Compare>& compares);
   /// Moves the due fences. A fence that can't be moved now stays due.
   asio::awaitable<void> move_due_fences();
--- a/src/controller/controller_state.hpp
+++ b/src/controller/controller_state.hpp
@@ -33,6 +33,14 @@
   std::vector<MachineCapacity> machines;
 };
 
+/// What this process knows of the fence of a partition that it leads.
+struct Fence {
+  /// Fencing token of the newest write that got no answer and may be applied at any later time; 0: none.
+  std::uint64_t unanswered_write_token = 0;
+  /// Revision of the last move of the fence. The cache must reach it before the next decision.
+  std::uint64_t moved_at_revision = 0;
+};
+
 /// The state that all components of a controller share. The fields are public, so each comment names the
 /// component that writes the field; all other components only read it. Only `cache` holds durable state, as
 /// read from the key-value store; everything else is lost when the process ends.
@@ -77,13 +85,8 @@
   std::vector<core::TimePoint> leader_missing_since;  // zero: the partition has a live leader
   std::vector<core::TimePoint> leading_since;         // only meaningful while `leads` is true
 
-  // Unanswered writes, by partition. Written by assignments::PlacementRecorder.
-
-  /// A write got no answer and may be applied at any later time. No task is placed and no share of a quota is
-  /// granted until the partition's fence has moved, which makes the late write fail (rule `quota`).
-  std::vector<char> fence_due;
-  /// Revision of the last move of the fence. The cache must reach it before the next placement.
-  std::vector<std::uint64_t> fence_move_revision;
+  /// By partition. Written by assignments::WriteFences.
+  std::vector<Fence> fences;
 
   // Machines and their tasks.
 
@@ -120,6 +123,21 @@
     return cache.leadership(partition).revision;
   }
 
+  /// Returns true while a write of this process got no answer and may still be applied: the partition's fence
+  /// has not moved since, and no newer leadership record is known. Does not depend on `leads`, which is also
+  /// false for a moment under the same fencing token, while the cache is reloaded.
+  [[nodiscard]] bool is_fence_due(core::PartitionId partition) const {
+    const auto token = fences.at(partition.index).unanswered_write_token;
+    return token != 0 && token >= fencing_token(partition);
+  }
+  /// Returns true if this controller leads the partition, and no write of its own can change the records
+  /// behind the cache any more. Only then may it place tasks and grant shares of a quota (rules `quota`,
+  /// `ran_twice`).
+  [[nodiscard]] bool may_decide_for(core::PartitionId partition) const {
+    return leads(partition) && !is_fence_due(partition) &&
+           cache.revision() >= fences[partition.index].moved_at_revision;
+  }
+
   // Membership and record levels.
 
   /// Returns true if the member's process runs, as far as the key-value store knows.
--- a/src/coordination/state_follower.cpp
+++ b/src/coordination/state_follower.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace finchrun::coordination {
 
@@ -94,12 +95,13 @@
     co_return ReadOutcome::revision_too_old;
   }
   const auto& changes = std::get<state::Changes>(result);
-  state_.with([&](ControllerState& state) {
+  const bool was_loaded = state_.with([&](ControllerState& state) {
     for (const auto& event : changes.events) state.cache.apply(event);
     state.cache.synchronized(changes.revision);
     state.synchronized_at = sent_at;
-    state.cache_loaded = true;
+    return std::exchange(state.cache_loaded, true);
   });
+  if (!was_loaded) spdlog::info("state current revision={}", changes.revision);
   complete_waiters(sent_at);
   co_return ReadOutcome::applied;
 }
--- a/src/scheduling/quota_sharing.cpp
+++ b/src/scheduling/quota_sharing.cpp
@@ -82,7 +82,7 @@
   bool changed = false;
   for (const auto& shortage : shortages) {
     const auto partition = shortage.partition;
-    if (shortage.team != team || !state.leads(partition) || state.fence_due[partition.index]) continue;
+    if (shortage.team != team || !state.may_decide_for(partition)) continue;
     const bool may_withdraw = core::seconds_between(request_withdrawn_at, now) > kWithdrawalIntervalS;
     const auto request = update_request(shares, shortage, may_withdraw);
     if (request == RequestChange::withdrawn) request_withdrawn_at = now;
--- a/src/scheduling/round_view.cpp
+++ b/src/scheduling/round_view.cpp
@@ -94,13 +94,6 @@
   return guarantees;
 }
 
-// Returns true if this controller leads the partition, its fence is not due, and the cache includes all
-// writes up to the last move of the fence.
-bool may_place_in(const ControllerState& state, core::PartitionId partition) {
-  return state.leads(partition) && !state.fence_due[partition.index] &&
-         state.cache.revision() >= state.fence_move_revision[partition.index];
-}
-
 // `used`: by team, in this partition.
 std::vector<sched::TeamQuota> team_quotas_in(const ControllerState& state, core::PartitionId partition,
                                              const std::vector<core::Resources>& used) {
@@ -117,7 +110,7 @@
 void add_partitions(const ControllerState& state, const std::vector<std::vector<core::Resources>>& used,
                     RoundView& view) {
   for_each_partition(state, [&](core::PartitionId partition) {
-    if (!may_place_in(state, partition)) return;
+    if (!state.may_decide_for(partition)) return;
     auto& partition_view = view.partitions[partition];
     partition_view.fencing_token = state.fencing_token(partition);
     partition_view.team_quotas = team_quotas_in(state, partition, used[partition.index]);
--- a/tests/app/fault_scenarios.hpp
+++ b/tests/app/fault_scenarios.hpp
@@ -4,13 +4,18 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
+
 #include "sim/cluster.hpp"
 
 namespace finchrun::sim {
 
-// Turns off the controllers' log for all tests.
+// Turns off the controllers' log for all tests, unless LOG_LEVEL is set, to trace a scenario.
 struct LogSilencer {
-  LogSilencer() { spdlog::set_level(spdlog::level::off); }
+  LogSilencer() {
+    const char* level = std::getenv("LOG_LEVEL");
+    spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
+  }
 };
 inline const LogSilencer log_silencer;
 
--- a/tests/assignments/recorder_plans_test.cpp
+++ b/tests/assignments/recorder_plans_test.cpp
@@ -122,7 +122,7 @@
 class FenceMoves : public testing::TestWithParam<FenceCase> {};
 TEST_P(FenceMoves, MoveOnlyDueFencesOfLedPartitions) {
   SinglePartition leader;
-  leader.state.fence_due[0] = GetParam().due ? 1 : 0;
+  leader.state.fences[0].unanswered_write_token = GetParam().due ? kFencingToken : 0;
   if (!GetParam().leads) leader.state.incarnation = 8;
   const auto moves = plan_fence_moves(leader.state);
   ASSERT_EQ(moves.size(), GetParam().moved ? 1u : 0u);
--- /dev/null
+++ b/tests/assignments/write_fences_test.cpp
@@ -0,0 +1,128 @@
+// Commits of a partition's leader that get no response.
+#include "assignments/write_fences.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "assignments/single_partition.hpp"
+#include "sim/scripted_network.hpp"
+
+namespace finchrun::assignments {
+namespace {
+
+constexpr std::uint64_t kFencingToken = 40;  // of SinglePartition
+const core::PartitionId kPartition{0};
+
+/// A leader of partition "a.0" whose store gives prepared responses.
+struct Leader {
+  Leader()
+      : settings(single_partition_settings()),
+        runtime(io, 1),
+        state(settings, tuning),
+        store(network, settings),
+        follower(runtime, state, store, tuning),
+        fences(state, store, follower) {
+    state.with([](ControllerState& shared) {
+      shared.cache_loaded = true;
+      shared.incarnation = 7;
+      shared.cache.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), kFencingToken});
+      shared.cache.synchronized(kFencingToken);
+    });
+  }
+  bool is_fence_due() {
+    return state.with([](ControllerState& shared) { return shared.is_fence_due(kPartition); });
+  }
+  bool may_decide() {
+    return state.with([](ControllerState& shared) { return shared.may_decide_for(kPartition); });
+  }
+  void commit_unanswered(std::uint64_t fencing_token) {
+    fences.mark_due({{"parts/a.0", fencing_token}, {"fence/a.0", 0}});
+  }
+  void move_fences() {
+    sim::run_to_completion([&]() -> asio::awaitable<bool> {
+      co_await fences.move_due_fences();
+      co_return true;
+    });
+  }
+  boost::asio::io_context io;
+  config::Settings settings;
+  config::Tuning tuning;
+  sim::ScriptedNetwork network;
+  controller::Runtime runtime;
+  controller::SharedState state;
+  state::KeyValueStore store;
+  coordination::StateFollower follower;
+  WriteFences fences;
+};
+
+// Guards against a late placement that starts its task twice: the fence was no longer due after a moment in
+// which the process did not lead, although its fencing token was the same afterwards.
+struct InterruptionCase {
+  const char* name;
+  std::function<void(ControllerState&)> begin, end;
+  bool due_after;
+};
+class FenceDue : public testing::TestWithParam<InterruptionCase> {};
+TEST_P(FenceDue, EndsOnlyWithANewFencingToken) {
+  Leader leader;
+  leader.commit_unanswered(kFencingToken);
+  leader.state.with(GetParam().begin);
+  EXPECT_FALSE(leader.may_decide());
+  leader.move_fences();  // as each scheduling round does
+  leader.state.with(GetParam().end);
+  EXPECT_EQ(leader.is_fence_due(), GetParam().due_after);
+  EXPECT_EQ(leader.may_decide(), !GetParam().due_after);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, FenceDue,
+    testing::Values(InterruptionCase{"while_the_cache_is_reloaded",
+                                     [](ControllerState& state) { state.cache_loaded = false; },
+                                     [](ControllerState& state) { state.cache_loaded = true; }, true},
+                    InterruptionCase{"while_the_membership_is_renewed",
+                                     [](ControllerState& state) { state.incarnation = 0; },
+                                     [](ControllerState& state) { state.incarnation = 7; }, true},
+                    InterruptionCase{"while_the_reloaded_records_lack_the_leadership",
+                                     [](ControllerState& state) { state.cache.reset(); },
+                                     [](ControllerState& state) {
+                                       state.cache.apply(
+                                           {"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"),
+                                            kFencingToken});
+                                       state.cache.synchronized(kFencingToken);
+                                     },
+                                     true},
+                    InterruptionCase{"leadership_acquired_again",
+                                     [](ControllerState& state) { state.cache_loaded = false; },
+                                     [](ControllerState& state) {
+                                       state.cache_loaded = true;
+                                       state.cache.apply(
+                                           {"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"),
+                                            kFencingToken + 1});
+                                       state.cache.synchronized(kFencingToken + 1);
+                                     },
+                                     false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(WriteFences, DecideAgainOnceTheMovedFenceHasBeenRead) {
+  Leader leader;
+  leader.commit_unanswered(kFencingToken);
+  leader.network.answers.push_back({http::status::kOk, R"({"epoch":45})"});
+  leader.move_fences();
+  EXPECT_FALSE(leader.is_fence_due());
+  EXPECT_FALSE(leader.may_decide()) << "the unanswered commit may have been applied before the move";
+  leader.state.with([](ControllerState& state) { state.cache.synchronized(45); });
+  EXPECT_TRUE(leader.may_decide());
+}
+
+TEST(WriteFences, StayDueWhileAMoveFails) {
+  Leader leader;
+  leader.commit_unanswered(kFencingToken);
+  for (const int status : {503, 409, 0}) {
+    leader.network.answers.push_back({status, R"({"failed":[],"epoch":44})"});
+    leader.move_fences();
+    EXPECT_TRUE(leader.is_fence_due()) << status;
+  }
+}
+
+}  // namespace
+}  // namespace finchrun::assignments
--- a/tests/scheduling/quota_sharing_test.cpp
+++ b/tests/scheduling/quota_sharing_test.cpp
@@ -79,7 +79,7 @@
   SinglePartition deployment(settings());
   deployment.state.cache.apply({"teams/red", to_json(c.before), 51});
   deployment.state.cache.apply({"fence/a.0", boost::json::value(1), 52});
-  deployment.state.fence_due[kOwnPartition.index] = c.fence_due ? 1 : 0;
+  deployment.state.fences[kOwnPartition.index].unanswered_write_token = c.fence_due ? 40 : 0;
   const core::TimePoint withdrawn_at(core::to_duration(c.withdrawn_s));
   const std::vector<QuotaShortage> shortages{
       {kOwnPartition, kTeam, gpus(c.used), gpus(c.shortfall), gpus(c.team_used)},
--- a/tests/scheduling/round_view_test.cpp
+++ b/tests/scheduling/round_view_test.cpp
@@ -126,7 +126,7 @@
   state.cache_loaded = c.loaded;
   if (c.machine_types_known) state.fleet.machine_types.emplace_back();
   if (!c.leads) state.incarnation = 8;
-  state.fence_due[0] = c.fence_due;
+  state.fences[0].unanswered_write_token = c.fence_due ? state.fencing_token(core::PartitionId{0}) : 0;
   state.synchronized_at = kNow - core::to_duration(c.cache_age_s);
   EXPECT_EQ(build_round_view(state, 2, kNow).has_value(), c.decides);
 }
