Fleet: a machine known from a redirected heartbeat has its partition

Cause: the controller that comes back redirects the first heartbeat of a new machine to the acting leader and added the machine to its fleet by name only. When it leads again, reconcile_recorded_machines passes over machines that the fleet knows, and plan_scale_in over machines without a partition. A machine taken before any list showed it was therefore never deleted, and only the deletion's answer proves its tasks gone. Evidence: the log of the restarted controller has 'heartbeat redirected' for the machine, later 'leadership acquired' or the transfer, and no 'scale in' of it up to the end; the records keep the assignment. Change: a machine is added to the fleet with its MachineIdentity (type, zone, partition, spot), which every source knows; the signature of Fleet::mark_seen and find_or_add asks for it.

--- a/src/agent/fleet.cpp
+++ b/src/agent/fleet.cpp
@@ -2,7 +2,7 @@
 
 namespace finchrun::agent {
 
-Machine& Fleet::find_or_add(jobs::Names& names, const std::string& name) {
+Machine& Fleet::find_or_add(jobs::Names& names, const std::string& name, const MachineIdentity& identity) {
   const auto id = names.machines.intern(name);
   const auto [entry, is_new] = machines_.try_emplace(id);
   auto& machine = entry->second;
@@ -10,11 +10,13 @@
     machine.id = id;
     machine.name = name;
   }
+  machine.set_identity(identity);
   return machine;
 }
 
-Machine& Fleet::mark_seen(jobs::Names& names, const std::string& name, core::TimePoint now) {
-  auto& machine = find_or_add(names, name);
+Machine& Fleet::mark_seen(jobs::Names& names, const std::string& name, const MachineIdentity& identity,
+                          core::TimePoint now) {
+  auto& machine = find_or_add(names, name, identity);
   if (machine.first_seen == core::TimePoint{}) machine.first_seen = now;
   return machine;
 }
--- a/src/agent/fleet.hpp
+++ b/src/agent/fleet.hpp
@@ -53,10 +53,13 @@
 /// not recorded.
 class Fleet {
  public:
-  /// Returns the machine of this name. An unknown machine is added with its name only.
-  Machine& find_or_add(jobs::Names& names, const std::string& name);
+  /// Returns the machine of this name, with this identity. An unknown machine is added. Every machine has its
+  /// partition from the moment it is known: a machine without one is never released, and what is recorded on
+  /// it would stay assigned forever.
+  Machine& find_or_add(jobs::Names& names, const std::string& name, const MachineIdentity& identity);
   /// Like `find_or_add`; also sets `first_seen` of a machine that this controller sees for the first time.
-  Machine& mark_seen(jobs::Names& names, const std::string& name, core::TimePoint now);
+  Machine& mark_seen(jobs::Names& names, const std::string& name, const MachineIdentity& identity,
+                     core::TimePoint now);
   [[nodiscard]] Machine* find(core::MachineId id);
   [[nodiscard]] const Machine* find(core::MachineId id) const;
   [[nodiscard]] std::map<core::MachineId, Machine>& machines() { return machines_; }
--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -14,17 +14,22 @@
 
 namespace finchrun::agent {
 
+/// What never changes about a machine. Every source that names a machine of a partition knows it; only
+/// records name no type.
+struct MachineIdentity {
+  core::MachineTypeId type;  ///< not valid: not known yet
+  core::ZoneId zone;
+  core::PartitionId partition;  ///< not valid: outside the deployment's zones
+  bool spot = false;
+};
+
 /// One machine, as shown by the cloud's list, its agent's heartbeats and the answers to direct commands. This
 /// state is not durable; a new leader rebuilds it from the list and the heartbeats.
-struct Machine {
-  // --- Identity and type: from the cloud's list, or from the first heartbeat if that comes earlier.
+struct Machine : MachineIdentity {
+  // --- Identity: from the source that names the machine first.
   core::MachineId id;
   std::string name;
-  std::string endpoint;  ///< address of the agent, for direct commands; empty: unknown
-  core::MachineTypeId type;
-  core::ZoneId zone;
-  core::PartitionId partition;  ///< not valid: outside the deployment's zones
-  bool spot = false;
+  std::string endpoint;          ///< address of the agent, for direct commands; empty: unknown
   core::TimePoint first_seen{};  ///< by this process
 
   // --- The cloud's list, which lags behind.
@@ -68,14 +73,16 @@
   bool quarantined = false;           ///< gets no more tasks, and is deleted once it is empty
 
   // --- Scale in.
-  bool terminating = false;  ///< the cloud is being asked to delete the machine
-  bool deleted = false;      ///< the cloud has confirmed the deletion; the list may still show the machine
+  bool terminating = false;     ///< the cloud is being asked to delete the machine
+  bool deleted = false;         ///< the cloud has confirmed the deletion; the list may still show the machine
+  bool silence_logged = false;  ///< the log tells that tasks are recorded on the machine while it is silent
 
   // --- Reservation: capacity is being freed here for this job.
   core::JobId reserved_for;
   core::TimePoint reservation_ready_at{};    ///< expected time at which the capacity is free
   core::TimePoint reservation_expires_at{};  ///< expiry of the reservation
 
+  void set_identity(const MachineIdentity& identity) { static_cast<MachineIdentity&>(*this) = identity; }
   [[nodiscard]] bool is_unreachable() const { return unreachable_since.has_value(); }
   /// Records that a message of this controller may not have reached the agent's newest incarnation.
   void mark_unreachable(core::TimePoint now) {
--- a/src/gateway/agent_gateway.cpp
+++ b/src/gateway/agent_gateway.cpp
@@ -29,17 +29,6 @@
   http::Response operator()(const MachineDeleted&) const { return retry_later("machine was returned"); }
 };
 
-// Updates the machine's type, zone, partition and spot flag from the heartbeat.
-agent::Machine& update_machine(ControllerState& state, const wire::Heartbeat& heartbeat,
-                               core::PartitionId partition, core::TimePoint now) {
-  auto& machine = state.fleet.mark_seen(state.names, heartbeat.machine, now);
-  machine.type = state.names.types.intern(heartbeat.type);
-  machine.zone = state.partitions.zone(partition);
-  machine.partition = partition;
-  machine.spot = heartbeat.spot;
-  return machine;
-}
-
 std::string relay_frame(const std::string& heartbeat) {
   return peer::encode(peer::HeartbeatRelay{heartbeat});
 }
@@ -57,7 +46,7 @@
     const auto partition = partition_of(state, heartbeat);
     if (const auto refusal = find_refusal(state, heartbeat, partition, now))
       return std::visit(RefusalResponse{}, *refusal);
-    auto& machine = update_machine(state, heartbeat, *partition, now);
+    auto& machine = add_machine(state, heartbeat, *partition, now);
     auto result = state.apply_heartbeat(machine, heartbeat, now, false);
     if (result.kind == agent::HeartbeatResult::Kind::superseded) {
       spdlog::debug(
@@ -85,7 +74,7 @@
   return state_.with([&](ControllerState& state) -> std::optional<std::size_t> {
     const auto partition = partition_of(state, *heartbeat);
     if (!partition) return std::nullopt;
-    auto& machine = state.fleet.mark_seen(state.names, heartbeat->machine, now);
+    auto& machine = add_machine(state, *heartbeat, *partition, now);
     const auto forwarding = decide_forwarding(machine, *heartbeat, state.fencing_token(*partition),
                                               state.settings.heartbeat_interval_s, now);
     machine.relayed_without_redirect = forwarding == Forwarding::relay_without_redirect;
--- a/src/gateway/heartbeat_routing.cpp
+++ b/src/gateway/heartbeat_routing.cpp
@@ -10,6 +10,13 @@
   return zone ? state.partitions.partition_of(heartbeat.machine, *zone) : std::nullopt;
 }
 
+agent::Machine& add_machine(ControllerState& state, const wire::Heartbeat& heartbeat,
+                            core::PartitionId partition, core::TimePoint now) {
+  const agent::MachineIdentity identity{state.names.types.intern(heartbeat.type),
+                                        state.partitions.zone(partition), partition, heartbeat.spot};
+  return state.fleet.mark_seen(state.names, heartbeat.machine, identity, now);
+}
+
 std::optional<HeartbeatRefusal> find_refusal(const ControllerState& state, const wire::Heartbeat& heartbeat,
                                              std::optional<core::PartitionId> partition,
                                              core::TimePoint now) {
--- a/src/gateway/heartbeat_routing.hpp
+++ b/src/gateway/heartbeat_routing.hpp
@@ -13,6 +13,11 @@
 std::optional<core::PartitionId> partition_of(const controller::ControllerState& state,
                                               const wire::Heartbeat& heartbeat);
 
+/// Returns the machine of the heartbeat. Adds it to the fleet if it is new, whether or not this controller
+/// leads `partition`, which is `partition_of` the heartbeat.
+agent::Machine& add_machine(controller::ControllerState& state, const wire::Heartbeat& heartbeat,
+                            core::PartitionId partition, core::TimePoint now);
+
 /// Why a heartbeat is not answered with commands.
 struct OutsideDeployment {};  ///< the machine is in no zone of the deployment and has no partition or leader
 struct LedElsewhere {
--- a/tests/agent/heartbeat_handler_test.cpp
+++ b/tests/agent/heartbeat_handler_test.cpp
@@ -26,7 +26,7 @@
     record.ranges = {{0, tasks, core::PartitionId{0}}};
     job.value = jobs::to_json(record, names);
     cache.apply(job);
-    machine = &fleet.find_or_add(names, "m");
+    machine = &fleet.find_or_add(names, "m", {});
     machine->partition = core::PartitionId{0};
     set_assignments({{0, 7, machine->id, 2}}, 41);
   }
--- a/tests/assignments/recorder_plans_test.cpp
+++ b/tests/assignments/recorder_plans_test.cpp
@@ -52,7 +52,7 @@
 class PlanPlacements : public testing::Test {
  protected:
   PlanPlacements() {
-    leader.state.fleet.find_or_add(leader.state.names, "host-100000").agent_incarnation = 5;
+    leader.state.fleet.find_or_add(leader.state.names, "host-100000", {}).agent_incarnation = 5;
     job = leader.job("req-1", 4, false);
   }
   PlannedPlacement placement(std::uint32_t task) {
@@ -98,7 +98,7 @@
 }
 
 TEST_F(PlanPlacements, SkipsDeletedOrTerminatingMachines) {
-  auto& machine = leader.state.fleet.find_or_add(leader.state.names, "host-100000");
+  auto& machine = leader.state.fleet.find_or_add(leader.state.names, "host-100000", {});
   for (auto* flag : {&machine.deleted, &machine.terminating}) {
     *flag = true;
     EXPECT_TRUE(plan({placement(0)}).transaction.starts.empty());
--- a/tests/autoscaling/scale_in_plan_test.cpp
+++ b/tests/autoscaling/scale_in_plan_test.cpp
@@ -32,7 +32,7 @@
     add_healthy_machine("m");
   }
   agent::Machine& add_healthy_machine(const std::string& name) {
-    auto& machine = state.fleet.find_or_add(state.names, name);
+    auto& machine = state.fleet.find_or_add(state.names, name, {});
     machine.partition = partition;
     machine.type = state.fleet.machine_type_ids[0];
     machine.first_seen = ago(9000);
--- a/tests/autoscaling/scale_out_plan_test.cpp
+++ b/tests/autoscaling/scale_out_plan_test.cpp
@@ -25,7 +25,7 @@
   }
   agent::Machine& add_machine(const std::string& name, std::uint32_t type_index, bool spot,
                               const char* status) {
-    auto& machine = state.fleet.find_or_add(state.names, name);
+    auto& machine = state.fleet.find_or_add(state.names, name, {});
     machine.partition = partition;
     machine.type = state.fleet.machine_type_ids.at(type_index);
     machine.spot = spot;
--- a/tests/controller/controller_state_test.cpp
+++ b/tests/controller/controller_state_test.cpp
@@ -46,7 +46,7 @@
 
 TEST(ControllerState, SilenceIsCountedFromTheStartOfTheTerm) {
   ControllerState state(settings(), {});
-  auto& machine = state.fleet.find_or_add(state.names, "host-1");
+  auto& machine = state.fleet.find_or_add(state.names, "host-1", {});
   machine.partition = core::PartitionId{0};
   machine.first_seen = core::TimePoint(core::to_duration(10));
   state.leading_since[0] = core::TimePoint(core::to_duration(200));
@@ -111,7 +111,7 @@
   ControllerState state(settings(), {});
   state.cache.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 40});
   const core::TimePoint now(core::to_duration(100));
-  auto& machine = state.fleet.find_or_add(state.names, "host-1");
+  auto& machine = state.fleet.find_or_add(state.names, "host-1", {});
   machine.partition = core::PartitionId{0};
   machine.has_heartbeat = true;
   machine.fencing_token = 40;
@@ -137,7 +137,7 @@
   ControllerState state(settings(), {});
   state.cache.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 40});
   state.leading_since[0] = core::TimePoint(core::to_duration(100));
-  auto& machine = state.fleet.find_or_add(state.names, "host-1");
+  auto& machine = state.fleet.find_or_add(state.names, "host-1", {});
   machine.partition = core::PartitionId{0};
   machine.has_heartbeat = true;
   machine.fencing_token = 40;
@@ -148,7 +148,7 @@
 
 TEST(ControllerState, DeletedMachinesStayDeleted) {
   ControllerState state(settings(), {});
-  state.fleet.deleted_machines.insert(state.fleet.find_or_add(state.names, "host-1").id);
+  state.fleet.deleted_machines.insert(state.fleet.find_or_add(state.names, "host-1", {}).id);
   EXPECT_TRUE(state.fleet.was_deleted(state.names, "host-1"));
   EXPECT_FALSE(state.fleet.was_deleted(state.names, "host-2"));
 }
--- a/tests/gateway/agent_decisions_test.cpp
+++ b/tests/gateway/agent_decisions_test.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "assignments/single_partition.hpp"
+#include "autoscaling/scale_in_plan.hpp"
 #include "core/in_flight.hpp"
 #include "gateway/direct_commands.hpp"
 #include "gateway/due_stops.hpp"
@@ -31,7 +32,7 @@
     machine = add_machine(0);
   }
   agent::Machine* add_machine(int index) {
-    auto& added = state.fleet.find_or_add(state.names, "host-" + std::to_string(100000 + index));
+    auto& added = state.fleet.find_or_add(state.names, "host-" + std::to_string(100000 + index), {});
     added.partition = partition;
     added.endpoint = "10.1.0.1:9000";
     added.has_heartbeat = true;
@@ -72,6 +73,29 @@
 void PrintTo(const Case& test_case, std::ostream* out) { *out << test_case.name; }
 std::string name_of_case(const testing::TestParamInfo<Case>& info) { return info.param.name; }
 
+// Guards against tasks that stay assigned to a lost machine forever: a machine that was known from a
+// redirected heartbeat only had no partition, so its deletion was never requested by the leader that this
+// controller became.
+TEST(RedirectedHeartbeat, MachineIsReleasedIfItStaysSilentUnderThisLeader) {
+  Leader leader;
+  auto redirected = leader.heartbeat();
+  redirected.machine = "host-100001";
+  redirected.type = "g4";
+  redirected.spot = true;
+  leader.state.settings.cloud_list_lag_s = 5;
+  leader.state.tuning.scale_in_idle_s = 1e6;  // no machine is idle for so long
+  auto& machine = add_machine(leader.state, redirected, leader.partition, ago(60));
+  EXPECT_EQ(machine.partition, leader.partition);
+  EXPECT_EQ(machine.zone, leader.state.partitions.zone(leader.partition));
+  EXPECT_EQ(machine.type, leader.state.names.types.find("g4"));
+  EXPECT_TRUE(machine.spot);
+  leader.assign(leader.job_id, {{0, 7, machine.id, 1}});
+  const auto decisions = autoscaling::plan_scale_in(leader.state, kNow);
+  ASSERT_EQ(decisions.size(), 1u);
+  EXPECT_EQ(decisions[0].name, "host-100001");
+  EXPECT_EQ(decisions[0].reason, autoscaling::ScaleInReason::unlisted);
+}
+
 class Probes : public testing::TestWithParam<Case> {};
 TEST_P(Probes, GoToAgentsThatMayBeUnreachableOrNotObey) {
   Leader leader;
--- a/tests/scheduling/cluster_load_test.cpp
+++ b/tests/scheduling/cluster_load_test.cpp
@@ -25,7 +25,7 @@
   deployment.state.fleet.machine_types.resize(1);
   deployment.state.fleet.machine_types[0].size = {64, 8, 64};
   deployment.state.fleet.machine_type_ids = {type};
-  auto& machine = deployment.state.fleet.find_or_add(deployment.state.names, name);
+  auto& machine = deployment.state.fleet.find_or_add(deployment.state.names, name, {});
   machine.partition = partition;
   machine.type = type;
   machine.listed = true;
--- a/tests/scheduling/preemption_test.cpp
+++ b/tests/scheduling/preemption_test.cpp
@@ -86,7 +86,7 @@
   const auto array = deployment.job("req-1", 3, Shape::array), gang = deployment.job("req-2", 3, Shape::gang);
   place(array, 3, 9);
   place(gang, 3, 10);
-  auto& reclaimed = state.fleet.find_or_add(state.names, "host-100000");
+  auto& reclaimed = state.fleet.find_or_add(state.names, "host-100000", {});
   reclaimed.partition = deployment.partition;
   evict_from_reclaimed_machines(state);
   EXPECT_TRUE(state.fleet.preempting.empty());
--- a/tests/scheduling/rebalancer_test.cpp
+++ b/tests/scheduling/rebalancer_test.cpp
@@ -74,7 +74,7 @@
     deployment.state.fleet.machine_types.resize(1);
     deployment.state.fleet.machine_types[0].size = {64, gpus, 64};
     deployment.state.fleet.machine_type_ids = {type};
-    auto& machine = deployment.state.fleet.find_or_add(deployment.state.names, "host-1");
+    auto& machine = deployment.state.fleet.find_or_add(deployment.state.names, "host-1", {});
     machine.partition = partition;
     machine.type = type;
     machine.listed = true;
--- a/tests/scheduling/round_view_test.cpp
+++ b/tests/scheduling/round_view_test.cpp
@@ -93,7 +93,7 @@
 TEST_F(TwoZones, NodeShowsCordonReservationAndFetches) {
   cloud::MachineType type;
   type.size = {32, 4, 256};
-  auto& machine = state.fleet.find_or_add(state.names, "host-1");
+  auto& machine = state.fleet.find_or_add(state.names, "host-1", {});
   const auto id = job(jobs::Shape::service, false, false);
   place(id, own, 0);
   machine.cordoned_until = kNow + core::to_duration(1);
