Fences: every write that compares a fence marks it if no answer comes

Cause: only placements and transfers of quota marked the fence after a commit without an answer; exits, splits of shards and moves of ranges did not. A tombstone names its shard. A split without an answer, then a tombstone for the shard that it splits, then the split carried out late: the assignment stands in a new shard that no tombstone names, and is in force again after its task was placed elsewhere. Change: WriteFences::commit is the way of every transaction that compares a fence, and marks it if the outcome is unknown. While a fence is due nothing is placed, recorded, moved or granted for the partition (may_decide_for), and PartitionWriter moves due fences before each step, no longer only each round. Result: LateTransactions.SplitOfAShardDoesNotBringBackEndedAssignments failed before (ran_twice) and passes, as do Table/FencedCommit, ExitRecorder.RecordsNothingMoreAfterAnUnansweredCommit and the new case of PlanRangeMove.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -24,15 +24,16 @@
           [this](const std::string& heartbeat) { return agent_gateway_.handle_heartbeat(heartbeat); }),
       jobs_(state_, store_, follower_, peers_, peer_service_),
       router_(jobs_, agent_gateway_),
-      placement_recorder_(state_, store_, follower_, commands_, runtime_),
-      exit_recorder_(state_, store_, follower_),
+      write_fences_(state_, store_, follower_),
+      placement_recorder_(state_, store_, follower_, commands_, runtime_, write_fences_),
+      exit_recorder_(state_, store_, follower_, write_fences_),
       preemptor_(runtime_, state_, commands_, tuning_),
-      quota_sharing_(state_, store_, follower_, placement_recorder_),
+      quota_sharing_(state_, store_, write_fences_),
       round_(state_, placement_recorder_, preemptor_, quota_sharing_, settings_, tuning_),
-      rebalancer_(state_, store_, follower_),
+      rebalancer_(state_, store_, write_fences_),
       usage_recorder_(state_, store_, follower_),
-      partition_writer_(runtime_, state_, store_, writer_wakeup_, round_, exit_recorder_, rebalancer_,
-                        usage_recorder_, tuning_),
+      partition_writer_(runtime_, state_, store_, writer_wakeup_, write_fences_, round_, exit_recorder_,
+                        rebalancer_, usage_recorder_, tuning_),
       autoscaler_(runtime_, state_, cloud_, round_.backlog()) {}
 
 void Controller::listen() {
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -50,6 +50,7 @@
   coordination::PeerService peer_service_;
   gateway::JobApi jobs_;
   gateway::Router router_;
+  assignments::WriteFences write_fences_;
   assignments::PlacementRecorder placement_recorder_;
   assignments::ExitRecorder exit_recorder_;
   scheduling::Preemptor preemptor_;
--- a/src/assignments/exit_recorder.cpp
+++ b/src/assignments/exit_recorder.cpp
@@ -18,7 +18,7 @@
     state.drop_recorded_exits();
     for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
       const core::PartitionId partition{index};
-      if (!state.leads(partition)) continue;
+      if (!state.may_decide_for(partition)) continue;
       auto transaction = plan_next_transaction(state, partition);
       if (transaction.writes.empty()) continue;
       planned.push_back({state.names.partitions.name(partition), std::move(transaction)});
@@ -34,8 +34,8 @@
     if (!store_.try_spend_writes(writes, state::KeyValueStore::WritePurpose::records))
       co_return;  // the next flush does the rest
     // A named variable, since GCC 12 destroys aggregate temporaries of a co_await twice.
-    state::Transaction commit{transaction.compares, std::move(transaction.writes)};
-    const auto result = co_await follower_.commit(std::move(commit));
+    state::Transaction commit{std::move(transaction.compares), std::move(transaction.writes)};
+    const auto result = co_await fences_.commit(std::move(commit));
     if (result.outcome == CommitStatus::done) {
       for (const auto& line : transaction.log_lines) spdlog::info("{}", line);
       continue;
--- a/src/assignments/exit_recorder.hpp
+++ b/src/assignments/exit_recorder.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "assignments/planned_transaction.hpp"
+#include "assignments/write_fences.hpp"
 #include "controller/runtime.hpp"
 #include "coordination/state_follower.hpp"
 #include "state/key_value_store.hpp"
@@ -17,8 +18,8 @@
 class ExitRecorder {
  public:
   ExitRecorder(controller::SharedState& state, state::KeyValueStore& store,
-               coordination::StateFollower& follower)
-      : state_(state), store_(store), follower_(follower) {}
+               coordination::StateFollower& follower, WriteFences& fences)
+      : state_(state), store_(store), follower_(follower), fences_(fences) {}
 
   /// Commits one transaction for each partition that has something to record. Exits that can't be written now
   /// stay observed, and a later call records them.
@@ -34,6 +35,7 @@
   controller::SharedState& state_;
   state::KeyValueStore& store_;
   coordination::StateFollower& follower_;
+  WriteFences& fences_;
 };
 
 }  // namespace finchrun::assignments
--- a/src/assignments/placement_recorder.cpp
+++ b/src/assignments/placement_recorder.cpp
@@ -33,8 +33,8 @@
       co_return retry_at;
     }
     // A named variable, since GCC 12 destroys aggregate temporaries of a co_await twice.
-    state::Transaction commit{transaction.compares, std::move(transaction.writes)};
-    const auto result = co_await follower_.commit(std::move(commit));
+    state::Transaction commit{std::move(transaction.compares), std::move(transaction.writes)};
+    const auto result = co_await fences_.commit(std::move(commit));
     if (result.outcome == CommitStatus::done) {
       for (const auto& line : transaction.log_lines) spdlog::info("{}", line);
       send_starts(transaction);
@@ -44,9 +44,7 @@
     // Retries once the next read of the store has brought the change that caused the failure.
     schedule_retry();
     follower_.request_read();
-    if (result.outcome != CommitStatus::unknown) continue;
-    fences_.mark_due(transaction.compares);
-    co_return retry_at;
+    if (result.outcome == CommitStatus::unknown) co_return retry_at;
   }
   co_return retry_at;
 }
--- a/src/assignments/placement_recorder.hpp
+++ b/src/assignments/placement_recorder.hpp
@@ -20,22 +20,18 @@
  public:
   PlacementRecorder(controller::SharedState& state, state::KeyValueStore& store,
                     coordination::StateFollower& follower, gateway::AgentCommands& commands,
-                    controller::Runtime& runtime)
+                    controller::Runtime& runtime, WriteFences& fences)
       : state_(state),
         store_(store),
         follower_(follower),
         commands_(commands),
         runtime_(runtime),
-        fences_(state, store, follower) {}
+        fences_(fences) {}
 
   /// Records the placements in as many transactions as they need. If some could not be recorded, returns the
   /// time from which the next round may retry.
   asio::awaitable<std::optional<core::TimePoint>> record(std::vector<PlannedPlacement> placements,
                                                          std::uint64_t attempt);
-  /// See WriteFences::mark_due.
-  void mark_fences_due(const std::vector<state::Compare>& compares) { fences_.mark_due(compares); }
-  /// See WriteFences::move_due_fences.
-  asio::awaitable<void> move_due_fences() { return fences_.move_due_fences(); }
 
  private:
   void send_starts(const PlannedTransaction& transaction);
@@ -45,7 +41,7 @@
   coordination::StateFollower& follower_;
   gateway::AgentCommands& commands_;
   controller::Runtime& runtime_;
-  WriteFences fences_;
+  WriteFences& fences_;
 };
 
 }  // namespace finchrun::assignments
--- a/src/assignments/write_fences.cpp
+++ b/src/assignments/write_fences.cpp
@@ -69,8 +69,12 @@
   if (fence.unanswered_write_token <= move.fencing_token) fence.unanswered_write_token = 0;
 }
 
-void WriteFences::mark_due(const std::vector<state::Compare>& compares) {
-  state_.with([&](ControllerState& state) { mark_fences_due(state, compares); });
+asio::awaitable<state::CommitResult> WriteFences::commit(state::Transaction transaction) {
+  const auto compares = transaction.compares;
+  const auto result = co_await follower_.commit(std::move(transaction));
+  if (result.outcome == CommitStatus::unknown)
+    state_.with([&](ControllerState& state) { mark_fences_due(state, compares); });
+  co_return result;
 }
 
 asio::awaitable<void> WriteFences::move_due_fences() {
--- a/src/assignments/write_fences.hpp
+++ b/src/assignments/write_fences.hpp
@@ -31,17 +31,19 @@
 /// Records that the fence was moved at this revision, so that unanswered writes under its token fail.
 void mark_fence_moved(ControllerState& state, const FenceMove& move, std::uint64_t revision);
 
-/// Every write of a leader compares its partition's fence. An unanswered commit may still be applied at any
-/// later time, so no decision that it could invalidate (rules quota, ran_twice) is taken until the fence has
-/// moved; from then on the commit fails.
+/// Commits the transactions of a partition's leader. Each of them compares the partition's fence. An
+/// unanswered commit may still be applied at any later time, so nothing more is decided or recorded for the
+/// partition (rules quota, ran_twice, wrong_place, not_done) until the fence has moved; from then on the
+/// commit fails.
 class WriteFences {
  public:
   WriteFences(controller::SharedState& state, state::KeyValueStore& store,
               coordination::StateFollower& follower)
       : state_(state), store_(store), follower_(follower) {}
 
-  /// See mark_fences_due.
-  void mark_due(const std::vector<state::Compare>& compares);
+  /// Commits, and marks the fences among the compares as due if no answer comes. All transactions that
+  /// compare a fence must be committed here.
+  asio::awaitable<state::CommitResult> commit(state::Transaction transaction);
   /// Moves the due fences. A fence that can't be moved now stays due.
   asio::awaitable<void> move_due_fences();
 
--- a/src/controller/controller_state.hpp
+++ b/src/controller/controller_state.hpp
@@ -131,8 +131,8 @@
     return token != 0 && token >= fencing_token(partition);
   }
   /// Returns true if this controller leads the partition, and no write of its own can change the records
-  /// behind the cache any more. Only then may it place tasks and grant shares of a quota (rules `quota`,
-  /// `ran_twice`).
+  /// behind the cache any more. Only then may it place tasks, record exits, move ranges and grant shares of a
+  /// quota (rules `quota`, `ran_twice`, `wrong_place`, `not_done`).
   [[nodiscard]] bool may_decide_for(core::PartitionId partition) const {
     return leads(partition) && !is_fence_due(partition) &&
            cache.revision() >= fences[partition.index].moved_at_revision;
--- a/src/scheduling/partition_writer.hpp
+++ b/src/scheduling/partition_writer.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "assignments/exit_recorder.hpp"
+#include "assignments/write_fences.hpp"
 #include "controller/controller_state.hpp"
 #include "controller/runtime.hpp"
 #include "scheduling/rebalancer.hpp"
@@ -22,12 +23,14 @@
 class PartitionWriter {
  public:
   PartitionWriter(controller::Runtime& runtime, controller::SharedState& state, state::KeyValueStore& store,
-                  controller::Wakeup& wakeup, SchedulingRound& round, assignments::ExitRecorder& exits,
-                  Rebalancer& rebalancer, UsageRecorder& usage, const config::Tuning& tuning)
+                  controller::Wakeup& wakeup, assignments::WriteFences& fences, SchedulingRound& round,
+                  assignments::ExitRecorder& exits, Rebalancer& rebalancer, UsageRecorder& usage,
+                  const config::Tuning& tuning)
       : runtime_(runtime),
         state_(state),
         store_(store),
         wakeup_(wakeup),
+        fences_(fences),
         round_(round),
         exits_(exits),
         rebalancer_(rebalancer),
@@ -48,6 +51,7 @@
   controller::SharedState& state_;
   state::KeyValueStore& store_;
   controller::Wakeup& wakeup_;
+  assignments::WriteFences& fences_;
   SchedulingRound& round_;
   assignments::ExitRecorder& exits_;
   Rebalancer& rebalancer_;
--- a/src/scheduling/quota_sharing.cpp
+++ b/src/scheduling/quota_sharing.cpp
@@ -145,10 +145,8 @@
   // Each team has its own transaction, so that a conflict on one record does not delay other teams.
   for (auto& planned : plan.transactions) {
     if (!store_.try_spend_writes(1, state::KeyValueStore::WritePurpose::records)) co_return;
-    state::Transaction transaction{planned.compares, std::move(planned.writes)};
-    const auto result = co_await follower_.commit(std::move(transaction));
-    // If the store applied the transaction late, it would take away a share that is in use by then.
-    if (result.outcome == CommitStatus::unknown) recorder_.mark_fences_due(planned.compares);
+    state::Transaction transaction{std::move(planned.compares), std::move(planned.writes)};
+    const auto result = co_await fences_.commit(std::move(transaction));
     if (result.outcome != CommitStatus::done) continue;
     for (const auto& line : planned.log_lines) spdlog::info("{}", line);
   }
--- a/src/scheduling/quota_sharing.hpp
+++ b/src/scheduling/quota_sharing.hpp
@@ -3,9 +3,9 @@
 
 #include <vector>
 
-#include "assignments/placement_recorder.hpp"
+#include "assignments/planned_transaction.hpp"
+#include "assignments/write_fences.hpp"
 #include "controller/controller_state.hpp"
-#include "coordination/state_follower.hpp"
 #include "sched/place.hpp"
 #include "state/key_value_store.hpp"
 
@@ -51,9 +51,8 @@
 /// Requests and grants shares of team quotas, by compare-and-swap on the team's record.
 class QuotaSharing {
  public:
-  QuotaSharing(controller::SharedState& state, state::KeyValueStore& store,
-               coordination::StateFollower& follower, assignments::PlacementRecorder& recorder)
-      : state_(state), store_(store), follower_(follower), recorder_(recorder) {}
+  QuotaSharing(controller::SharedState& state, state::KeyValueStore& store, assignments::WriteFences& fences)
+      : state_(state), store_(store), fences_(fences) {}
 
   /// Discards the shortages of earlier rounds.
   void clear() { shortages_.clear(); }
@@ -66,8 +65,7 @@
  private:
   controller::SharedState& state_;
   state::KeyValueStore& store_;
-  coordination::StateFollower& follower_;
-  assignments::PlacementRecorder& recorder_;
+  assignments::WriteFences& fences_;
   std::vector<QuotaShortage> shortages_;
   core::TimePoint request_withdrawn_at_{};
 };
--- a/src/scheduling/rebalancer.cpp
+++ b/src/scheduling/rebalancer.cpp
@@ -71,7 +71,7 @@
                                    const std::vector<core::Resources>& used_by_team) {
   const auto& demand = item.demand;
   const auto* job = state.cache.job(demand.job);
-  if (!state.leads(item.partition) || !job || job->status != jobs::Status::live) return nullptr;
+  if (!state.may_decide_for(item.partition) || !job || job->status != jobs::Status::live) return nullptr;
   if (job->ranges.size() > kMaxRanges || !quota_allows(state, demand, used_by_team)) return nullptr;
   if (must_move_whole(job->spec) && state.cache.placed_tasks(demand.job) > 0) return nullptr;
   return job;
@@ -144,7 +144,7 @@
   const auto now = core::SteadyClock::now();
   auto move = state_.with([&](ControllerState& state) { return plan_range_move(state, backlog, now); });
   if (!move || !store_.try_spend_writes(1, state::KeyValueStore::WritePurpose::records)) co_return;
-  const auto result = co_await follower_.commit(std::move(move->transaction));
+  const auto result = co_await fences_.commit(std::move(move->transaction));
   if (result.outcome == CommitStatus::done) spdlog::info("{}", move->log_line);
 }
 
--- a/src/scheduling/rebalancer.hpp
+++ b/src/scheduling/rebalancer.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "assignments/write_fences.hpp"
 #include "controller/controller_state.hpp"
-#include "coordination/state_follower.hpp"
 #include "scheduling/backlog.hpp"
 #include "state/key_value_store.hpp"
 
@@ -38,9 +38,8 @@
 /// move.
 class Rebalancer {
  public:
-  Rebalancer(controller::SharedState& state, state::KeyValueStore& store,
-             coordination::StateFollower& follower)
-      : state_(state), store_(store), follower_(follower) {}
+  Rebalancer(controller::SharedState& state, state::KeyValueStore& store, assignments::WriteFences& fences)
+      : state_(state), store_(store), fences_(fences) {}
 
   /// Plans one move and commits it if the write budget allows. A failed move is planned again from the next
   /// backlog.
@@ -49,7 +48,7 @@
  private:
   controller::SharedState& state_;
   state::KeyValueStore& store_;
-  coordination::StateFollower& follower_;
+  assignments::WriteFences& fences_;
 };
 
 }  // namespace finchrun::scheduling
--- a/src/scheduling/scheduling_round.cpp
+++ b/src/scheduling/scheduling_round.cpp
@@ -58,7 +58,6 @@
 }
 
 asio::awaitable<std::optional<core::TimePoint>> SchedulingRound::run(double round_s) {
-  co_await recorder_.move_due_fences();
   const auto now = core::SteadyClock::now();
   backlog_.clear();
   quota_.clear();
--- a/tests/app/late_transactions_test.cpp
+++ b/tests/app/late_transactions_test.cpp
@@ -82,5 +82,52 @@
   }
 }
 
+// A partition whose large shard is split when all controllers come back with a lower limit on values. The
+// writes of that shard get no response; meanwhile a task with an assignment in it is preempted and placed
+// again.
+struct SplitWithoutResponse {
+  static constexpr double kCrashS = 24, kDownS = 3, kLateWritesS = 14;
+
+  SplitWithoutResponse() : cluster(7, 3, 2, kLeasesThatLast) {
+    cluster.cloud.capacity = 0;
+    submit(6, 120, 0.002, 600, "normal");
+    submit(7.5, 110, 0.002, 600, "normal");
+    submit(9, 1, 3, 24, "normal");
+    submit(11, 1, 3, 60, "idle");
+    submit(13, 100, 0.002, 600, "normal");
+    cluster.after(kCrashS, [this] { restart_with_lower_limits(); });
+    submit(kCrashS + kDownS + 1, 1, 3, 3, "prod", "red");
+  }
+  void submit(double at_s, int tasks, double gpus, double run_s, const char* priority,
+              const char* team = "blue") {
+    cluster.after(at_s, [=, this] { cluster.submit(tasks, false, gpus, run_s, team, priority, false, "a"); });
+  }
+  void restart_with_lower_limits() {
+    cluster.announce_store_limits({1000, 200, 2, 5});
+    for (std::size_t n = 0; n < 3; ++n) cluster.crash(n, kDownS);
+    cluster.withhold_write = [](const json::object& transaction) {
+      return writes(transaction, "runs/a.0/0", "");
+    };
+    cluster.after(kDownS + kLateWritesS, [this] {
+      executed = cluster.withheld_write_count();
+      cluster.withhold_write = nullptr;
+      cluster.execute_withheld_writes();
+    });
+  }
+
+  Cluster cluster;
+  std::size_t executed = 0;  // number of transactions that were executed late
+};
+
+// Guards against a task that starts on two machines: the split of a shard had no response, tombstones were
+// recorded that named the shard, and the late split brought the ended assignment back in a new shard.
+TEST(LateTransactions, SplitOfAShardDoesNotBringBackEndedAssignments) {
+  SplitWithoutResponse scenario;
+  scenario.cluster.run(80);
+  EXPECT_GE(scenario.executed, 1u);
+  expect_no_violations(scenario.cluster);
+  EXPECT_GE(scenario.cluster.store.change_count("ends/"), 1u);
+}
+
 }  // namespace
 }  // namespace finchrun::sim
--- a/tests/assignments/write_fences_test.cpp
+++ b/tests/assignments/write_fences_test.cpp
@@ -1,10 +1,11 @@
-// Commits of a partition's leader that get no response.
+// Commits of a partition's leader that get no response, for each component that commits.
 #include "assignments/write_fences.hpp"
 
 #include <gtest/gtest.h>
 
 #include <functional>
 
+#include "assignments/exit_recorder.hpp"
 #include "assignments/single_partition.hpp"
 #include "sim/scripted_network.hpp"
 
@@ -37,7 +38,11 @@
     return state.with([](ControllerState& shared) { return shared.may_decide_for(kPartition); });
   }
   void commit_unanswered(std::uint64_t fencing_token) {
-    fences.mark_due({{"parts/a.0", fencing_token}, {"fence/a.0", 0}});
+    network.answers.push_back({http::status::kNoAnswer, ""});
+    sim::run_to_completion([&]() -> asio::awaitable<state::CommitResult> {
+      state::Transaction transaction{{{"parts/a.0", fencing_token}, {"fence/a.0", 0}}, {}};
+      co_return co_await fences.commit(std::move(transaction));
+    });
   }
   void move_fences() {
     sim::run_to_completion([&]() -> asio::awaitable<bool> {
@@ -56,6 +61,30 @@
   WriteFences fences;
 };
 
+struct AnswerCase {
+  const char* name;
+  int status;
+  const char* body;
+  bool due;
+};
+class FencedCommit : public testing::TestWithParam<AnswerCase> {};
+TEST_P(FencedCommit, MakesTheFenceDueOnlyWithoutACertainOutcome) {
+  Leader leader;
+  leader.network.answers.push_back({GetParam().status, GetParam().body});
+  sim::run_to_completion([&]() -> asio::awaitable<state::CommitResult> {
+    state::Transaction transaction{{{"parts/a.0", kFencingToken}, {"fence/a.0", 0}}, {}};
+    co_return co_await leader.fences.commit(std::move(transaction));
+  });
+  EXPECT_EQ(leader.is_fence_due(), GetParam().due);
+}
+INSTANTIATE_TEST_SUITE_P(Table, FencedCommit,
+                         testing::Values(AnswerCase{"applied", 200, R"({"epoch":41})", false},
+                                         AnswerCase{"conflict", 409, R"({"failed":["a"],"epoch":41})", false},
+                                         AnswerCase{"refused", 503, "", false},
+                                         AnswerCase{"no_answer", 0, "", true},
+                                         AnswerCase{"internal_error", 500, "", true}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 // Guards against a late placement that starts its task twice: the fence was no longer due after a moment in
 // which the process did not lead, although its fencing token was the same afterwards.
 struct InterruptionCase {
@@ -124,5 +153,42 @@
   }
 }
 
+// Guards against a late split of a shard: after an exit transaction without a response, tombstones were
+// recorded that the late transaction did not compare.
+TEST(ExitRecorder, RecordsNothingMoreAfterAnUnansweredCommit) {
+  Leader leader;
+  ExitRecorder recorder(leader.state, leader.store, leader.follower, leader.fences);
+  leader.state.with([](ControllerState& state) {
+    jobs::JobRecord record;
+    record.spec.team = core::TeamId{0};
+    record.spec.image = state.names.images.intern("img");
+    record.spec.job_class = state.names.job_classes.intern("lane");
+    record.spec.tasks = 2;
+    record.ranges = {{0, 2, kPartition}};
+    state.cache.apply({"jobs/req-1", jobs::to_json(record, state.names), 41});
+    jobs::JobAssignments assigned;
+    assigned.assignments = {{0, 9, state.names.machines.intern("host-1"), 1}};
+    boost::json::object stored{{"req-1", jobs::to_json(assigned, state.names)}};
+    state.cache.apply({"runs/a.0/0", boost::json::object{{"jobs", std::move(stored)}}, 42});
+    state.fleet.observed_exits.insert({*state.names.jobs.find("req-1"), kPartition, 0, 9, true});
+  });
+  const auto flush = [&] {
+    sim::run_to_completion([&]() -> asio::awaitable<bool> {
+      co_await recorder.flush();
+      co_return true;
+    });
+    return leader.network.bodies.size();
+  };
+  EXPECT_EQ(flush(), 1u);
+  EXPECT_TRUE(leader.is_fence_due());
+  EXPECT_EQ(flush(), 1u) << "nothing is recorded until the fence has moved";
+  leader.network.answers.push_back({http::status::kOk, R"({"epoch":45})"});
+  leader.move_fences();
+  leader.state.with([](ControllerState& state) { state.cache.synchronized(45); });
+  leader.network.answers.push_back({http::status::kOk, R"({"epoch":46})"});
+  EXPECT_EQ(flush(), 3u) << "the fence and the exit";
+  EXPECT_FALSE(leader.is_fence_due());
+}
+
 }  // namespace
 }  // namespace finchrun::assignments
--- a/tests/scheduling/rebalancer_test.cpp
+++ b/tests/scheduling/rebalancer_test.cpp
@@ -146,6 +146,14 @@
                        {"parts/a.0", boost::json::parse(R"({"owner":"perch-1","inc":8})"), 60});
                  },
                  {}},
+        // Guards against a replica over the zone's cap: the tasks of a late move were placed here meanwhile.
+        PlanCase{"stays_while_a_fence_is_due",
+                 jobs::Shape::array,
+                 8,
+                 [](auto& deployment, auto) {
+                   deployment.state.fences[kOwnPartition.index].unanswered_write_token = 40;
+                 },
+                 {}},
         PlanCase{"stays_if_other_zone_is_not_allowed",
                  jobs::Shape::array,
                  8,
