Fences: read up to a move before the next step, and pause after a failed one

In an outage fences were tried every 0.25 s instead of every 2 s. Change: WriteFences::settle moves the due fences and waits for the read up to then; after a failed move the next one comes after 2 s. The functions that apply the cloud's list and the records to the fleet move from the autoscaler, which had grown, into machine_inventory, with tests of their own; 'recorded machine silent' is decided by the records alone.

--- a/src/assignments/write_fences.cpp
+++ b/src/assignments/write_fences.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr double kMoveRetryS = 2;    // after a move that failed, as in an outage of the store
+constexpr double kReadTimeoutS = 1;  // of the read of all changes up to the move
+
 // Returns the fencing token that the transaction compares; without one, the newest that is known here.
 std::uint64_t compared_token(const ControllerState& state, core::PartitionId partition,
                              const std::vector<state::Compare>& compares) {
@@ -77,25 +80,41 @@
   co_return result;
 }
 
-asio::awaitable<void> WriteFences::move_due_fences() {
-  const auto moves = state_.with([](const ControllerState& state) { return plan_fence_moves(state); });
-  for (const auto& move : moves) {
-    if (!store_.try_spend_writes(1, state::KeyValueStore::WritePurpose::records)) co_return;
-    state::Transaction transaction = move.transaction;
-    const auto result = co_await follower_.commit(std::move(transaction));
-    const bool moved = result.outcome == CommitStatus::done;
-    const auto partition = state_.with([&](ControllerState& state) {
-      if (moved) mark_fence_moved(state, move, result.revision);
-      return state.names.partitions.name(move.partition);
-    });
-    if (!moved) {
-      log_refusal("fence not moved", partition, result);
-      continue;
-    }
+asio::awaitable<bool> WriteFences::move(const FenceMove& move) {
+  if (!store_.try_spend_writes(1, state::KeyValueStore::WritePurpose::records)) co_return false;
+  state::Transaction transaction = move.transaction;
+  const auto result = co_await follower_.commit(std::move(transaction));
+  const bool moved = result.outcome == CommitStatus::done;
+  const auto partition = state_.with([&](ControllerState& state) {
+    if (moved) mark_fence_moved(state, move, result.revision);
+    return state.names.partitions.name(move.partition);
+  });
+  if (moved) {
     spdlog::info("fence moved partition={} fencing_token={} revision={}", partition, move.fencing_token,
                  result.revision);
-    follower_.request_read();
+  } else {
+    log_refusal("fence not moved", partition, result);
   }
+  co_return moved;
+}
+
+asio::awaitable<bool> WriteFences::move_due_fences() {
+  const auto now = core::SteadyClock::now();
+  if (now < next_move_at_) co_return false;
+  const auto moves = state_.with([](const ControllerState& state) { return plan_fence_moves(state); });
+  bool any_moved = false;
+  for (const auto& planned : moves) {
+    const bool moved = co_await move(planned);
+    any_moved = any_moved || moved;
+    if (!moved) next_move_at_ = now + core::to_duration(kMoveRetryS);
+  }
+  co_return any_moved;
+}
+
+asio::awaitable<void> WriteFences::settle() {
+  const bool any_moved = co_await move_due_fences();
+  if (any_moved)
+    co_await follower_.linearizable_read(core::SteadyClock::now() + core::to_duration(kReadTimeoutS));
 }
 
 }  // namespace finchrun::assignments
--- a/src/assignments/write_fences.hpp
+++ b/src/assignments/write_fences.hpp
@@ -44,13 +44,19 @@
   /// Commits, and marks the fences among the compares as due if no answer comes. All transactions that
   /// compare a fence must be committed here.
   asio::awaitable<state::CommitResult> commit(state::Transaction transaction);
-  /// Moves the due fences. A fence that can't be moved now stays due.
-  asio::awaitable<void> move_due_fences();
+  /// Moves the due fences. A fence that can't be moved now stays due. Returns true if one was moved.
+  asio::awaitable<bool> move_due_fences();
+  /// Moves the due fences and waits for the read of all changes up to then, so that the next step may decide
+  /// for their partitions.
+  asio::awaitable<void> settle();
 
  private:
+  asio::awaitable<bool> move(const FenceMove& move);
+
   controller::SharedState& state_;
   state::KeyValueStore& store_;
   coordination::StateFollower& follower_;
+  core::TimePoint next_move_at_{};
 };
 
 }  // namespace finchrun::assignments
--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <variant>
 
+#include "autoscaling/machine_inventory.hpp"
 #include "autoscaling/scale_out_plan.hpp"
 
 namespace finchrun::autoscaling {
@@ -19,72 +20,6 @@
 constexpr double kLoopIntervalS = 0.25;
 constexpr double kNoCapacityBackoffS = 15;
 constexpr double kFailedRequestBackoffS = 4;
-// The grace period of a zone outage, and some requests to the cloud.
-constexpr double kMaxSilenceBeyondLeaseS = 150;
-
-agent::MachineIdentity identity_of(ControllerState& state, const std::string& machine,
-                                   const MachineKind& kind) {
-  const auto zone = state.names.zones.intern(kind.zone);
-  const auto partition = state.partitions.partition_of(machine, zone);
-  return {state.names.types.intern(kind.type), zone, partition.value_or(core::PartitionId{}), kind.spot};
-}
-
-void update_listed_machine(ControllerState& state, const cloud::ListedMachine& listed, core::TimePoint now) {
-  if (state.fleet.was_deleted(state.names, listed.name)) return;  // the list lags
-  const auto identity = identity_of(state, listed.name, {listed.type, listed.zone, listed.spot});
-  auto& machine = state.fleet.mark_seen(state.names, listed.name, identity, now);
-  machine.listed = machine.ever_listed = true;
-  if (!listed.endpoint.empty()) machine.endpoint = listed.endpoint;
-  if (listed.status == "starting" && machine.status != "starting")
-    machine.starting_since = now - core::to_duration(listed.rented_for_s);
-  machine.status = listed.status;
-}
-
-/// Removes machines that are not listed, have no recorded assignments and have been silent for long.
-void remove_stale_machines(ControllerState& state, core::TimePoint now) {
-  const double retention_s = 4 * state.settings.cloud_list_lag_s + 60;
-  std::erase_if(state.fleet.machines(), [&](const auto& item) {
-    const auto& [id, machine] = item;
-    return !machine.listed && state.cache.on_machine(id).empty() &&
-           core::seconds_between(machine.first_seen, now) > retention_s &&
-           core::seconds_between(machine.last_heartbeat, now) > retention_s;
-  });
-}
-
-/// Aligns the fleet with the machines that the records of this controller's partitions name.
-void reconcile_recorded_machines(ControllerState& state, core::TimePoint now) {
-  state.cache.for_each_assigned_machine([&](core::MachineId id,
-                                            const std::vector<state::MachineAssignment>& assignments) {
-    const auto partition = assignments.front().partition;
-    if (!state.leads(partition)) return;
-    // The placement was in flight when the machine was released, so its tasks are gone too.
-    if (state.fleet.deleted_machines.contains(id))
-      return agent::mark_assignments_ended(state.cache, state.fleet, id);
-    if (state.fleet.find(id)) return;
-    // The machine disappeared while the partition had no leader: it is recorded, but not listed and
-    // without heartbeats. Its deletion must be requested, or its tasks stay assigned forever.
-    const agent::MachineIdentity identity{{}, state.partitions.zone(partition), partition, false};
-    const auto& machine = state.fleet.mark_seen(state.names, state.names.machines.name(id), identity, now);
-    spdlog::info("recorded machine added machine={} partition={}", machine.name,
-                 state.names.partitions.name(partition));
-  });
-}
-
-/// Logs once for each machine that tasks of this controller's partitions are recorded on it, although it has
-/// been silent for longer than any rule keeps a silent machine.
-void log_silent_recorded_machines(ControllerState& state, core::TimePoint now) {
-  const double max_silence_s = state.settings.agent_lease_s + kMaxSilenceBeyondLeaseS;
-  for (auto& [id, machine] : state.fleet.machines()) {
-    const auto& assignments = state.cache.on_machine(id);
-    if (assignments.empty() || !machine.partition.valid() || !state.leads(machine.partition)) continue;
-    const double silent_s = state.seconds_since_heartbeat(machine, now);
-    const bool silent = silent_s > max_silence_s;
-    if (silent && !machine.silence_logged)
-      spdlog::warn("recorded machine silent machine={} silent_s={:.0f} listed={} terminating={} tasks={}",
-                   machine.name, silent_s, machine.listed, machine.terminating, assignments.size());
-    machine.silence_logged = silent;
-  }
-}
 
 /// Called once the cloud has confirmed the deletion, which proves that nothing runs on the machine any more
 /// (docs/design.md "When a task is gone").
@@ -140,11 +75,7 @@
   const auto* list = std::get_if<std::vector<cloud::ListedMachine>>(&answer);
   if (!list) co_return;
   const auto now = core::SteadyClock::now();
-  state_.with([&](ControllerState& state) {
-    for (auto& [_, machine] : state.fleet.machines()) machine.listed = false;
-    for (const auto& listed : *list) update_listed_machine(state, listed, now);
-    remove_stale_machines(state, now);
-  });
+  state_.with([&](ControllerState& state) { apply_machine_list(state, *list, now); });
 }
 
 asio::awaitable<void> Autoscaler::scale_in() {
--- a/src/scheduling/partition_writer.cpp
+++ b/src/scheduling/partition_writer.cpp
@@ -39,7 +39,7 @@
     co_await wakeup_.wait(std::max(0.0, tuning_.write_batch_interval_s - kMinWritePauseS));
     update_write_share();
     // Nothing is decided or recorded for a partition while its fence is due.
-    co_await fences_.move_due_fences();
+    co_await fences_.settle();
     const auto now = core::SteadyClock::now();
     const auto cache_version = state_.with([](ControllerState& state) { return state.cache.version(); });
     if (is_round_due(now, cache_version)) {
--- a/tests/assignments/write_fences_test.cpp
+++ b/tests/assignments/write_fences_test.cpp
@@ -45,10 +45,7 @@
     });
   }
   void move_fences() {
-    sim::run_to_completion([&]() -> asio::awaitable<bool> {
-      co_await fences.move_due_fences();
-      co_return true;
-    });
+    sim::run_to_completion([&] { return fences.move_due_fences(); });
   }
   boost::asio::io_context io;
   config::Settings settings;
@@ -143,15 +140,25 @@
   EXPECT_TRUE(leader.may_decide());
 }
 
-TEST(WriteFences, StayDueWhileAMoveFails) {
+struct FailedMove {
+  const char* name;
+  int status;
+};
+class FailedFenceMove : public testing::TestWithParam<FailedMove> {};
+TEST_P(FailedFenceMove, LeavesTheFenceDueAndIsNotRepeatedAtOnce) {
   Leader leader;
   leader.commit_unanswered(kFencingToken);
-  for (const int status : {503, 409, 0}) {
-    leader.network.answers.push_back({status, R"({"failed":[],"epoch":44})"});
-    leader.move_fences();
-    EXPECT_TRUE(leader.is_fence_due()) << status;
-  }
+  const auto requests = leader.network.bodies.size();
+  leader.network.answers.push_back({GetParam().status, R"({"failed":[],"epoch":44})"});
+  leader.move_fences();
+  EXPECT_TRUE(leader.is_fence_due());
+  leader.move_fences();
+  EXPECT_EQ(leader.network.bodies.size(), requests + 1);
 }
+INSTANTIATE_TEST_SUITE_P(Table, FailedFenceMove,
+                         testing::Values(FailedMove{"refused", 503}, FailedMove{"conflict", 409},
+                                         FailedMove{"no_answer", 0}),
+                         [](const auto& info) { return std::string(info.param.name); });
 
 // Guards against a late split of a shard: after an exit transaction without a response, tombstones were
 // recorded that the late transaction did not compare.
--- /dev/null
+++ b/tests/autoscaling/machine_inventory_test.cpp
@@ -0,0 +1,114 @@
+#include "autoscaling/machine_inventory.hpp"
+
+#include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <sstream>
+
+#include "assignments/single_partition.hpp"
+
+namespace finchrun::autoscaling {
+namespace {
+
+using assignments::SinglePartition;
+
+const core::TimePoint kNow{core::to_duration(10000)};
+core::TimePoint ago(double seconds) { return kNow - core::to_duration(seconds); }
+
+/// A controller that leads partition "a.0", with a task recorded on machine host-100000.
+struct Leader : SinglePartition {
+  Leader() {
+    state.settings.agent_lease_s = 30;
+    job_id = job("req-1", 1, false);
+    jobs::JobAssignments job_assignments;
+    job_assignments.assignments = assignments(1, 7);
+    machine = job_assignments.assignments.front().machine;
+    boost::json::object stored{{"req-1", jobs::to_json(job_assignments, state.names)}};
+    state.cache.apply({"runs/a.0/0", boost::json::object{{"jobs", std::move(stored)}}, ++revision});
+  }
+  core::JobId job_id;
+  core::MachineId machine;
+};
+
+TEST(ReconcileRecordedMachines, AddsAMachineThatNothingElseHasNamed) {
+  Leader leader;
+  reconcile_recorded_machines(leader.state, kNow);
+  const auto* machine = leader.state.fleet.find(leader.machine);
+  ASSERT_TRUE(machine);
+  EXPECT_EQ(machine->partition, leader.partition);
+  EXPECT_EQ(machine->zone, leader.state.partitions.zone(leader.partition));
+  EXPECT_EQ(machine->first_seen, kNow);
+}
+
+TEST(ReconcileRecordedMachines, LeavesMachinesOfOtherLeadersAlone) {
+  Leader leader;
+  leader.state.incarnation = 8;
+  reconcile_recorded_machines(leader.state, kNow);
+  EXPECT_FALSE(leader.state.fleet.find(leader.machine));
+}
+
+TEST(ReconcileRecordedMachines, EndsWhatIsRecordedOnADeletedMachine) {
+  Leader leader;
+  leader.state.fleet.deleted_machines.insert(leader.machine);
+  reconcile_recorded_machines(leader.state, kNow);
+  EXPECT_TRUE(leader.state.fleet.observed_exits.contains({leader.job_id, leader.partition, 0, 7, false}));
+}
+
+TEST(ApplyMachineList, GivesEachMachineItsIdentityAndIgnoresDeletedOnes) {
+  Leader leader;
+  auto& state = leader.state;
+  state.fleet.deleted_machines.insert(state.names.machines.intern("host-3"));
+  cloud::ListedMachine listed;
+  listed.name = "host-2";
+  listed.type = "g4";
+  listed.zone = "a";
+  listed.spot = true;
+  listed.status = "running";
+  auto outside = listed, deleted = listed;
+  outside.name = "host-9";
+  outside.zone = "elsewhere";
+  deleted.name = "host-3";
+  apply_machine_list(state, {listed, deleted, outside}, kNow);
+  const auto* machine = state.fleet.find(*state.names.machines.find("host-2"));
+  ASSERT_TRUE(machine);
+  EXPECT_EQ(machine->partition, leader.partition);
+  EXPECT_EQ(machine->type, state.names.types.find("g4"));
+  EXPECT_TRUE(machine->spot && machine->listed && machine->ever_listed);
+  EXPECT_FALSE(state.fleet.find(*state.names.machines.find("host-3")));
+  EXPECT_FALSE(state.fleet.find(*state.names.machines.find("host-9"))->partition.valid());
+  apply_machine_list(state, {}, kNow);
+  EXPECT_FALSE(machine->listed);
+  EXPECT_TRUE(machine->ever_listed);
+}
+
+// Guards against tasks that neither run nor start again without a line in the log.
+struct SilenceCase {
+  const char* name;
+  double silent_s;
+  int lines;  // after two calls
+};
+class LogSilentRecordedMachines : public testing::TestWithParam<SilenceCase> {};
+TEST_P(LogSilentRecordedMachines, OnceWhenEveryGracePeriodIsOver) {
+  Leader leader;
+  leader.state.leading_since[0] = ago(9000);
+  reconcile_recorded_machines(leader.state, ago(GetParam().silent_s));
+  std::ostringstream log;
+  const auto previous = spdlog::default_logger();
+  spdlog::set_default_logger(
+      std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::ostream_sink_st>(log)));
+  for (int i = 0; i < 2; ++i) log_silent_recorded_machines(leader.state, kNow);
+  spdlog::set_default_logger(previous);
+  int lines = 0;
+  for (std::size_t at = 0;
+       (at = log.str().find("recorded machine silent machine=host-100000", at)) != std::string::npos; ++at)
+    ++lines;
+  EXPECT_EQ(lines, GetParam().lines);
+}
+INSTANTIATE_TEST_SUITE_P(Table, LogSilentRecordedMachines,
+                         testing::Values(SilenceCase{"within_the_grace_periods", 179, 0},
+                                         SilenceCase{"after_them", 181, 1}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace finchrun::autoscaling
