Autoscaler: a line in the log when a deletion is not confirmed, and when that ends

Change: `scale in failed` names machine, reason, error and recorded tasks, once for successive failures; `scale in` or `scale in withdrawn` ends it. What follows from the answers to deletions moved into machine_release, without I/O.

--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -76,6 +76,7 @@
   bool terminating = false;     ///< the cloud is being asked to delete the machine
   bool deleted = false;         ///< the cloud has confirmed the deletion; the list may still show the machine
   bool silence_logged = false;  ///< the log tells that tasks are recorded on the machine while it is silent
+  bool release_failed = false;  ///< the cloud did not confirm the last requested deletion; the log tells it
 
   // --- Reservation: capacity is being freed here for this job.
   core::JobId reserved_for;
--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "autoscaling/machine_inventory.hpp"
+#include "autoscaling/machine_release.hpp"
 #include "autoscaling/scale_out_plan.hpp"
 
 namespace finchrun::autoscaling {
@@ -21,18 +22,6 @@
 constexpr double kNoCapacityBackoffS = 15;
 constexpr double kFailedRequestBackoffS = 4;
 
-/// Called once the cloud has confirmed the deletion, which proves that nothing runs on the machine any more
-/// (docs/design.md "When a task is gone").
-void finish_scale_in(ControllerState& state, const ScaleInDecision& decision) {
-  auto* machine = state.fleet.find(decision.machine);
-  if (!machine) return;
-  spdlog::info("scale in machine={} reason={}", decision.name, name_of(decision.reason));
-  agent::mark_assignments_ended(state.cache, state.fleet, decision.machine);
-  state.fleet.deleted_machines.insert(decision.machine);
-  machine->deleted = true;
-  machine->has_heartbeat = false;
-}
-
 }  // namespace
 
 asio::awaitable<void> Autoscaler::run() {
@@ -85,21 +74,19 @@
     reconcile_recorded_machines(state, now);
     log_silent_recorded_machines(state, now);
     auto planned = plan_scale_in(state, now);
-    // Stops placements on these machines.
-    for (const auto& decision : planned) state.fleet.find(decision.machine)->terminating = true;
+    begin_release(state, planned);
     return planned;
   });
   if (decisions.empty()) co_return;
   std::vector<std::string> names;
   for (const auto& decision : decisions) names.push_back(decision.name);
   const auto answer = co_await cloud_.release(names);
-  const bool released = std::holds_alternative<cloud::Released>(answer);
   state_.with([&](ControllerState& state) {
     for (const auto& decision : decisions) {
-      if (released)
-        finish_scale_in(state, decision);
-      else if (auto* machine = state.fleet.find(decision.machine))
-        machine->terminating = false;  // retried after the next list
+      if (const auto* error = std::get_if<cloud::Error>(&answer))
+        fail_release(state, decision, *error);
+      else
+        finish_release(state, decision);
     }
   });
 }
--- a/tests/autoscaling/machine_inventory_test.cpp
+++ b/tests/autoscaling/machine_inventory_test.cpp
@@ -1,12 +1,9 @@
 #include "autoscaling/machine_inventory.hpp"
 
 #include <gtest/gtest.h>
-#include <spdlog/sinks/ostream_sink.h>
-#include <spdlog/spdlog.h>
-
-#include <sstream>
 
 #include "assignments/single_partition.hpp"
+#include "core/captured_log.hpp"
 
 namespace finchrun::autoscaling {
 namespace {
@@ -93,17 +90,9 @@
   Leader leader;
   leader.state.leading_since[0] = ago(9000);
   reconcile_recorded_machines(leader.state, ago(GetParam().silent_s));
-  std::ostringstream log;
-  const auto previous = spdlog::default_logger();
-  spdlog::set_default_logger(
-      std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::ostream_sink_st>(log)));
+  const core::CapturedLog log;
   for (int i = 0; i < 2; ++i) log_silent_recorded_machines(leader.state, kNow);
-  spdlog::set_default_logger(previous);
-  int lines = 0;
-  for (std::size_t at = 0;
-       (at = log.str().find("recorded machine silent machine=host-100000", at)) != std::string::npos; ++at)
-    ++lines;
-  EXPECT_EQ(lines, GetParam().lines);
+  EXPECT_EQ(log.count("recorded machine silent machine=host-100000"), GetParam().lines);
 }
 INSTANTIATE_TEST_SUITE_P(Table, LogSilentRecordedMachines,
                          testing::Values(SilenceCase{"within_the_grace_periods", 179, 0},
