A machine that the cloud's list does not name any more is gone, whatever the cloud answers to its deletion

Cause: the tasks of a lost machine waited for one thing, status 200 to its deletion. A cloud that refuses or does not answer deletions leaves them waiting for good. Change: PROTOCOL's list is a proof too ("Once listed, a machine remains listed until it is gone", lag at most twice list_lag_s): `proves_gone` takes a machine with recorded tasks for gone if a complete list without it was requested later than that after its last sign of life. A list cut off at the limit on pages says so and shows nothing as missing (it was taken as whole), and an empty page that is not the last is malformed. The request time is that of the first page.

--- a/src/agent/fleet.hpp
+++ b/src/agent/fleet.hpp
@@ -79,7 +79,8 @@
   /// Attempts that a heartbeat has shown on their machine, with the time of the first such heartbeat.
   std::map<TaskAttempt, core::TimePoint> confirmed_starts;
   std::map<TaskAttempt, DirectStart> direct_starts;
-  /// Machines whose deletion the cloud has confirmed. Late heartbeats and lists don't add them again.
+  /// Machines that are proved gone: the cloud has confirmed the deletion, or its list shows it. Late
+  /// heartbeats and lists don't add them again.
   std::set<core::MachineId> deleted_machines;
   [[nodiscard]] bool was_deleted(const jobs::Names& names, const std::string& name) const;
   /// Tasks being preempted, with the grace period in seconds that each gets to save its checkpoint.
--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -124,6 +124,7 @@
     // An answer to a direct command doesn't show that the agent can reach this controller. An agent that
     // can't loses its lease, and with it every task placed there.
     if (!context_.is_direct_answer) machine_.last_heartbeat = context_.now;
+    machine_.last_message = context_.now;
     machine_.endpoint = heartbeat_.endpoint;
     machine_.termination_notice_s = heartbeat_.termination_notice_s;
   }
--- a/src/agent/heartbeat_handler.hpp
+++ b/src/agent/heartbeat_handler.hpp
@@ -60,7 +60,7 @@
 bool is_gang_broken(const jobs::JobRecord& job, const state::StateCache& cache, const Fleet& fleet,
                     core::JobId id);
 
-/// Marks all assignments on the machine as ended, after the cloud has confirmed its deletion.
+/// Marks all assignments on the machine as ended, once it is proved gone.
 void mark_assignments_ended(const state::StateCache& cache, Fleet& fleet, core::MachineId id);
 
 }  // namespace finchrun::agent
--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -44,6 +44,7 @@
   std::uint64_t sequence = 0;                  ///< of the heartbeat, within the incarnation
   std::uint64_t fencing_token = 0;             ///< the highest that the agent had seen
   core::TimePoint last_heartbeat{};            ///< excludes the answers to direct commands
+  core::TimePoint last_message{};              ///< the newest heartbeat or answer to a direct command
   std::optional<double> termination_notice_s;  ///< time until the cloud terminates the spot instance
   /// This controller relayed the machine's last heartbeat to the leader without a redirect, since the agent
   /// seemed unable to reach the leader.
@@ -74,7 +75,7 @@
 
   // --- Scale in.
   bool terminating = false;     ///< the cloud is being asked to delete the machine
-  bool deleted = false;         ///< the cloud has confirmed the deletion; the list may still show the machine
+  bool deleted = false;         ///< it is proved gone, although a list may still show it
   bool silence_logged = false;  ///< the log tells that tasks are recorded on the machine while it is silent
   bool release_failed = false;  ///< the cloud did not confirm the last requested deletion; the log tells it
 
--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -61,10 +61,13 @@
 
 asio::awaitable<void> Autoscaler::refresh_machines() {
   const auto answer = co_await cloud_.machines();
-  const auto* list = std::get_if<std::vector<cloud::ListedMachine>>(&answer);
+  const auto* list = std::get_if<cloud::MachineList>(&answer);
   if (!list) co_return;
   const auto now = core::SteadyClock::now();
-  state_.with([&](ControllerState& state) { apply_machine_list(state, *list, now); });
+  state_.with([&](ControllerState& state) {
+    apply_machine_list(state, *list, now);
+    finish_missing_machines(state, *list, now);
+  });
 }
 
 asio::awaitable<void> Autoscaler::scale_in() {
--- a/src/autoscaling/machine_inventory.cpp
+++ b/src/autoscaling/machine_inventory.cpp
@@ -43,11 +43,11 @@
   return {state.names.types.intern(kind.type), zone, partition.value_or(core::PartitionId{}), kind.spot};
 }
 
-void apply_machine_list(ControllerState& state, const std::vector<cloud::ListedMachine>& list,
-                        core::TimePoint now) {
-  for (auto& [_, machine] : state.fleet.machines()) machine.listed = false;
-  for (const auto& listed : list) update_listed_machine(state, listed, now);
-  remove_stale_machines(state, now);
+void apply_machine_list(ControllerState& state, const cloud::MachineList& list, core::TimePoint now) {
+  if (list.complete)
+    for (auto& [_, machine] : state.fleet.machines()) machine.listed = false;
+  for (const auto& listed : list.machines) update_listed_machine(state, listed, now);
+  if (list.complete) remove_stale_machines(state, now);
 }
 
 void reconcile_recorded_machines(ControllerState& state, core::TimePoint now) {
--- a/src/autoscaling/machine_inventory.hpp
+++ b/src/autoscaling/machine_inventory.hpp
@@ -14,9 +14,9 @@
 agent::MachineIdentity identity_of(controller::ControllerState& state, const std::string& machine,
                                    const MachineKind& kind);
 
-/// Applies the cloud's whole list. Removes machines that are not listed, have no recorded assignments and
-/// have been silent for long.
-void apply_machine_list(controller::ControllerState& state, const std::vector<cloud::ListedMachine>& list,
+/// Applies the cloud's list. A complete list shows which machines are not listed any more; of these, the ones
+/// without recorded assignments that have been silent for long are removed.
+void apply_machine_list(controller::ControllerState& state, const cloud::MachineList& list,
                         core::TimePoint now);
 
 /// Aligns the fleet with the machines that the records of this controller's partitions name: what is recorded
--- a/src/autoscaling/machine_release.cpp
+++ b/src/autoscaling/machine_release.cpp
@@ -2,10 +2,30 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace finchrun::autoscaling {
+namespace {
 
+using agent::Machine;
 using controller::ControllerState;
 
+void mark_gone(ControllerState& state, Machine& machine) {
+  agent::mark_assignments_ended(state.cache, state.fleet, machine.id);
+  state.fleet.deleted_machines.insert(machine.id);
+  machine.deleted = true;
+  machine.has_heartbeat = false;
+  machine.release_failed = false;
+}
+
+/// Returns the latest time at which this controller has learned that the machine exists. It counts from the
+/// start of the leadership at the earliest, like the silence of a machine.
+core::TimePoint last_seen(const ControllerState& state, const Machine& machine, core::PartitionId partition) {
+  return std::max({machine.last_message, machine.first_seen, state.leading_since.at(partition.index)});
+}
+
+}  // namespace
+
 void begin_release(ControllerState& state, const std::vector<ScaleInDecision>& plan) {
   for (const auto& decision : plan) state.fleet.find(decision.machine)->terminating = true;
   for (auto& [_, machine] : state.fleet.machines()) {
@@ -19,11 +39,7 @@
   auto* machine = state.fleet.find(decision.machine);
   if (!machine) return;
   spdlog::info("scale in machine={} reason={}", decision.name, name_of(decision.reason));
-  agent::mark_assignments_ended(state.cache, state.fleet, decision.machine);
-  state.fleet.deleted_machines.insert(decision.machine);
-  machine->deleted = true;
-  machine->has_heartbeat = false;
-  machine->release_failed = false;
+  mark_gone(state, *machine);
 }
 
 void fail_release(ControllerState& state, const ScaleInDecision& decision, cloud::Error error) {
@@ -37,4 +53,32 @@
   machine->release_failed = true;
 }
 
+double max_list_age_s(const config::Settings& settings) {
+  constexpr double kMaxLags = 2;  // of the protocol
+  constexpr double kClockDriftFactor = 1.01;
+  constexpr double kReserveS = 1;
+  return kMaxLags * kClockDriftFactor * settings.cloud_list_lag_s + kReserveS;
+}
+
+bool proves_gone(const cloud::MachineList& list, bool is_listed, core::TimePoint last_seen,
+                 const config::Settings& settings) {
+  return list.complete && !is_listed &&
+         core::seconds_between(last_seen, list.requested_at) > max_list_age_s(settings);
+}
+
+void finish_missing_machines(ControllerState& state, const cloud::MachineList& list, core::TimePoint now) {
+  if (!is_current(state, now)) return;
+  state.cache.for_each_assigned_machine(
+      [&](core::MachineId id, const std::vector<state::MachineAssignment>& assignments) {
+        const auto partition = assignments.front().partition;
+        auto* machine = state.fleet.find(id);
+        if (!machine || machine->deleted || !state.leads(partition)) return;
+        const auto seen = last_seen(state, *machine, partition);
+        if (!proves_gone(list, machine->listed, seen, state.settings)) return;
+        spdlog::info("machine gone machine={} reason=not_listed last_seen_s={:.0f} tasks={}", machine->name,
+                     core::seconds_between(seen, now), assignments.size());
+        mark_gone(state, *machine);
+      });
+}
+
 }  // namespace finchrun::autoscaling
--- a/src/autoscaling/machine_release.hpp
+++ b/src/autoscaling/machine_release.hpp
@@ -1,4 +1,5 @@
-// What follows from the cloud's answers to the deletion of machines. Does no I/O.
+// When a machine and its tasks are gone: by the cloud's answer to its deletion, or by the cloud's list. Does
+// no I/O.
 #pragma once
 
 #include <vector>
@@ -21,4 +22,18 @@
 /// Logs the first of successive failures.
 void fail_release(controller::ControllerState& state, const ScaleInDecision& decision, cloud::Error error);
 
+/// Returns the largest age of a list of the cloud, in seconds, by this process's clock.
+double max_list_age_s(const config::Settings& settings);
+
+/// Returns true if the list proves that the machine, which has existed since `last_seen` or earlier, is gone
+/// (docs/design.md, "Why the rules hold", 3): it is complete, describes the cloud later than `last_seen`, and
+/// does not name the machine (`is_listed`).
+bool proves_gone(const cloud::MachineList& list, bool is_listed, core::TimePoint last_seen,
+                 const config::Settings& settings);
+
+/// Marks the machines and tasks as gone that are recorded in this controller's partitions and that the list
+/// proves gone. `apply_machine_list` must have applied the list. Does nothing while the state is not current.
+void finish_missing_machines(controller::ControllerState& state, const cloud::MachineList& list,
+                             core::TimePoint now);
+
 }  // namespace finchrun::autoscaling
--- a/src/autoscaling/scale_in_plan.hpp
+++ b/src/autoscaling/scale_in_plan.hpp
@@ -11,8 +11,7 @@
 /// The reason why a machine is released: the first that applies, in this order.
 enum class ScaleInReason {
   failed,         ///< the cloud lists it as failed
-  unlisted,       ///< in use and silent, but not in the cloud's list: only the answer to the deletion proves
-                  ///< that it is gone
+  unlisted,       ///< in use and silent, and not listed, but no list has proved it gone yet
   silent,         ///< listed as running, without heartbeats for longer than its lease and a grace period
   never_came_up,  ///< listed as starting for much longer than a boot takes
   quarantined,    ///< tasks of several jobs failed on it, and no task runs on it any more
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -101,6 +101,7 @@
   for (const auto& item : object.at("perches").as_array())
     page.machines.push_back(read_machine(item.as_object()));
   page.has_more = object.at("hasNext").as_bool();
+  if (page.has_more && page.machines.empty()) throw std::runtime_error("an empty page that is not the last");
   return page;
 }
 
@@ -165,23 +166,28 @@
   co_return parse(answer, "machine_types", read_machine_types);
 }
 
-asio::awaitable<Result<std::vector<ListedMachine>>> CloudClient::machines() {
-  std::vector<ListedMachine> machines;
-  for (int page_number = 1; page_number <= kMaxPages; ++page_number) {
+asio::awaitable<Result<MachineList>> CloudClient::machines() {
+  MachineList list;
+  auto& machines = list.machines;
+  for (int page_number = 1; page_number <= kMaxPages && !list.complete; ++page_number) {
     pages_ = std::max(pages_, page_number);
     // The pages of a long list exceed the rate limit's burst. Waiting keeps the list from failing halfway.
     co_await wait_for_rate_limit();
     std::string target = "/hosts?limit=500";
     if (!machines.empty()) target += "&from=" + machines.back().name;
+    if (page_number == 1) list.requested_at = core::SteadyClock::now();
     const http::ClientResponse answer =
         co_await client_->call(http::Verb::get, std::move(target), {}, kRequestTimeout);
     auto result = parse(answer, "machines", read_machine_page);
     if (const auto* error = std::get_if<Error>(&result)) co_return *error;
     auto& page = std::get<MachinePage>(result);
     std::move(page.machines.begin(), page.machines.end(), std::back_inserter(machines));
-    if (!page.has_more || machines.empty()) break;
+    list.complete = !page.has_more;
   }
-  co_return machines;
+  if (!list.complete && list_is_complete_)
+    spdlog::warn("machine list cut off pages={} machines={}", kMaxPages, machines.size());
+  list_is_complete_ = list.complete;
+  co_return list;
 }
 
 asio::awaitable<Result<Rented>> CloudClient::scale_out(std::string request_id, std::string type,
--- a/src/cloud/cloud_client.hpp
+++ b/src/cloud/cloud_client.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/clock.hpp"
 #include "core/resources.hpp"
 #include "http/transport.hpp"
 #include "state/rate_limiter.hpp"
@@ -36,6 +37,16 @@
   double rented_for_s = 0;  ///< time since it was rented
 };
 
+/// The cloud's machine list as it was read, page by page.
+struct MachineList {
+  std::vector<ListedMachine> machines;
+  /// Time before the request of the first page. Every page describes the cloud at most twice
+  /// `cloud_list_lag_s` before it, or later.
+  core::TimePoint requested_at{};
+  /// False: the list has more pages than are read, so a machine that is missing here may exist.
+  bool complete = false;
+};
+
 /// The reason why a request to the cloud has no usable answer.
 enum class Error {
   rate_limited,  ///< this controller's share of the rate limit is used up, or the cloud answered 429
@@ -65,8 +76,8 @@
 
   /// Reads all machine types; never empty.
   asio::awaitable<Result<std::vector<MachineType>>> machine_types();
-  /// Reads the whole list, page by page. Returns an error if any page fails.
-  asio::awaitable<Result<std::vector<ListedMachine>>> machines();
+  /// Reads the list, page by page, up to a large number of pages. Returns an error if any page fails.
+  asio::awaitable<Result<MachineList>> machines();
   /// The interval at which reading the whole list leaves half of the rate limit for renting and releasing.
   [[nodiscard]] double list_interval_s() const { return 2 * static_cast<double>(pages_) / requests_per_s_; }
   /// Rents up to `count` machines. The cloud executes each `request_id` at most once.
@@ -82,7 +93,8 @@
   std::unique_ptr<http::Transport> client_;
   double requests_per_s_;  // this controller's share of the rate limit
   state::RateLimiter rate_limiter_;
-  int pages_ = 1;  // page count of the longest list so far
+  int pages_ = 1;                 // page count of the longest list so far
+  bool list_is_complete_ = true;  // the newest list, for the log
 };
 
 }  // namespace finchrun::cloud
--- /dev/null
+++ b/tests/app/lost_machines_test.cpp
@@ -0,0 +1,104 @@
+// Machines that are taken without notice, while the cloud does not confirm deletions and its lists lag.
+#include "app/fault_scenarios.hpp"
+
+namespace finchrun::sim {
+namespace {
+
+using ListAge = CloudService::ListAge;
+
+constexpr double kTakenAtS = 15, kRefusedForS = 100;
+constexpr double kRestartedWithinS = 90;  // no job may wait for longer beside a free machine
+constexpr int kRefused = 400;
+
+/// A deployment whose cloud answers deletions with `status` as long as `refuses` returns true for a name.
+struct LostMachineCase {
+  const char* name;
+  int status = kRefused;
+  std::function<bool(const std::string& machine, double seconds)> refuses;
+  ListAge list_age = ListAge::usual;
+  bool crash_leader = false;
+};
+
+class LostMachines : public testing::TestWithParam<LostMachineCase> {};
+
+// Guards against an accepted job that is never started again after its machine was taken: its task waited for
+// the cloud's answer to the deletion of the machine, which the cloud refused.
+TEST_P(LostMachines, TasksRunAgainWhateverTheCloudAnswersToDeletions) {
+  const auto& test_case = GetParam();
+  Cluster cluster(21);
+  const auto start = core::SteadyClock::now();
+  const auto elapsed_s = [start] { return core::seconds_between(start, core::SteadyClock::now()); };
+  cluster.faults_over_at = start + core::to_duration(kTakenAtS);
+  cluster.cloud.list_age = test_case.list_age;
+  cluster.cloud.refuse_release = [&](const std::vector<std::string>& machines) {
+    const auto refused = std::any_of(machines.begin(), machines.end(), [&](const std::string& machine) {
+      return test_case.refuses(machine, elapsed_s());
+    });
+    return refused ? std::optional(ClientResponse{test_case.status, "{}"}) : std::nullopt;
+  };
+  cluster.after(5, [&] { cluster.submit(6, false, 2, 30, "blue", "normal", true); });
+  cluster.run(kTakenAtS);
+  std::vector<std::string> taken;
+  for (const auto& [name, agent] : cluster.agents)
+    if (!agent.tasks.empty() && taken.size() < 2) taken.push_back(name);
+  ASSERT_EQ(taken.size(), 2u);
+  std::size_t lost_tasks = 0;
+  for (const auto& name : taken) {
+    lost_tasks += cluster.agents.at(name).tasks.size();
+    cluster.remove_machine(name);
+  }
+  const auto starts_before = cluster.task_starts;
+  if (test_case.crash_leader) cluster.crash(cluster.busiest_leader(), 5);
+  cluster.run(kRestartedWithinS);
+  EXPECT_GE(cluster.task_starts, starts_before + lost_tasks);
+  const auto requests_before = cluster.cloud.release_requests;
+  cluster.run(50);
+  EXPECT_EQ(cluster.cloud.release_requests, requests_before) << "deletions of machines that are gone";
+  RecordProperty("release_requests", std::to_string(cluster.cloud.release_requests));
+  RecordProperty("list_requests", std::to_string(cluster.cloud.list_requests));
+  expect_no_violations(cluster);
+  EXPECT_TRUE(cluster.jobs.at("req-000000").reported_done);
+}
+
+bool always(const std::string&, double) { return true; }
+bool for_a_time(const std::string&, double seconds) { return seconds < kTakenAtS + kRefusedForS; }
+bool some_names(const std::string& machine, double) { return (machine.back() - '0') % 2 == 0; }
+bool never(const std::string&, double) { return false; }
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, LostMachines,
+    testing::Values(LostMachineCase{"refused_for_a_time", kRefused, for_a_time},
+                    LostMachineCase{"refused_for_good", kRefused, always},
+                    LostMachineCase{"not_answered_for_good", http::status::kNoAnswer, always},
+                    LostMachineCase{"unavailable_for_good", http::status::kServiceUnavailable, always},
+                    LostMachineCase{"refused_for_some_names", kRefused, some_names},
+                    LostMachineCase{"refused_and_lists_lag_twice", kRefused, always, ListAge::longest},
+                    LostMachineCase{"refused_and_lists_go_back", kRefused, always, ListAge::varying},
+                    LostMachineCase{"confirmed_and_lists_go_back", kRefused, never, ListAge::varying},
+                    LostMachineCase{"refused_and_leader_crashes", kRefused, always, ListAge::usual, true},
+                    LostMachineCase{"refused_and_leader_crashes_and_lists_go_back", kRefused, always,
+                                    ListAge::varying, true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against a task that starts a second time since lists did not show its machine: these lag by twice
+// the setting and go back, while leaders change.
+TEST(LostMachines, MachinesThatListsDoNotShowYetAreNotTakenForLost) {
+  for (const auto list_age : {ListAge::longest, ListAge::varying}) {
+    Cluster cluster(31);
+    cluster.cloud.list_age = list_age;
+    cluster.cloud.capacity = 8;
+    cluster.faults_over_at = core::SteadyClock::now() + core::to_duration(80);
+    submit_mixed_jobs(cluster, 20, 70);
+    for (int i = 0; i < 6; ++i)
+      cluster.after(10 + 10 * i, [&] { cluster.crash(cluster.busiest_leader(), 1); });
+    for (int i = 0; i < 12; ++i)
+      cluster.after(6 + 6 * i,
+                    [&, i] { cluster.cloud.add_machine(i % 2 ? "a" : "b", core::SteadyClock::now(), 0); });
+    cluster.run(150);
+    expect_no_violations(cluster);
+    EXPECT_EQ(finished_job_count(cluster), 20u);
+  }
+}
+
+}  // namespace
+}  // namespace finchrun::sim
--- a/tests/app/random_days_test.cpp
+++ b/tests/app/random_days_test.cpp
@@ -1,5 +1,6 @@
 // Random days with the disruptions of the incidents: chosen transactions that come late, outages of the store
-// with slow first reads, crashes, and machines that no list shows. No rule may be broken, and once the
+// with slow first reads, crashes, machines that no list shows, machines that are taken without notice while
+// the cloud refuses deletions, and lists that lag and go back. No rule may be broken, and once the
 // disruptions are over no job may wait beside free machines.
 //
 // FINCHRUN_RANDOM_DAYS="FIRST LAST" runs the seeds from FIRST to before LAST instead of the few of CI.
@@ -36,6 +37,9 @@
     for (int i = 0; i < 2; ++i) at_random_time([this] { stop_the_store(); });
     for (int i = 0; i < 3; ++i) at_random_time([this] { crash_a_controller(); });
     for (int i = 0; i < 3; ++i) at_random_time([this] { lend_an_unlisted_machine(random_index(3)); });
+    for (int i = 0; i < 4; ++i) at_random_time([this] { lend_a_spot_machine(); });
+    at_random_time([this] { refuse_deletions(); });
+    for (int i = 0; i < 2; ++i) at_random_time([this] { change_the_age_of_lists(); });
   }
   void run() { cluster.run(kDisruptionsOverS + kCalmS); }
 
@@ -114,6 +118,33 @@
     const auto name = cluster.add_unlisted_machine(random_index(2) == 0 ? "a" : "b", first_controller);
     cluster.after(random_s(1, 8), [this, name] { cluster.remove_machine(name); });
   }
+  // A spot machine that lists show, and that is taken without notice.
+  void lend_a_spot_machine() {
+    const auto name =
+        cluster.cloud.add_machine(random_index(2) == 0 ? "a" : "b", core::SteadyClock::now(), 0);
+    cluster.cloud.hosts.at(name).spot = true;
+    cluster.after(random_s(5, 15), [this, name] { cluster.remove_machine(name); });
+  }
+  // The cloud refuses deletions, does not answer them or is not available for them: for a time or for good,
+  // all of them or those that name some of the machines.
+  void refuse_deletions() {
+    static constexpr int kStatuses[] = {400, http::status::kServiceUnavailable, http::status::kNoAnswer};
+    const ClientResponse refusal{kStatuses[random_index(std::size(kStatuses))], "{}"};
+    const bool all_names = random_index(2) == 0;
+    cluster.cloud.refuse_release = [refusal, all_names](const std::vector<std::string>& machines) {
+      const bool refused = std::any_of(machines.begin(), machines.end(), [&](const std::string& machine) {
+        return all_names || (machine.back() - '0') % 3 == 0;
+      });
+      return refused ? std::optional(refusal) : std::nullopt;
+    };
+    if (random_index(2) == 0)
+      cluster.after(random_s(5, 60), [this] { cluster.cloud.refuse_release = nullptr; });
+  }
+  void change_the_age_of_lists() {
+    using ListAge = CloudService::ListAge;
+    cluster.cloud.list_age = random_index(2) == 0 ? ListAge::longest : ListAge::varying;
+    cluster.after(random_s(5, 30), [this] { cluster.cloud.list_age = ListAge::usual; });
+  }
 
   std::mt19937 random_;
 };
--- a/tests/autoscaling/machine_inventory_test.cpp
+++ b/tests/autoscaling/machine_inventory_test.cpp
@@ -66,7 +66,7 @@
   outside.name = "host-9";
   outside.zone = "elsewhere";
   deleted.name = "host-3";
-  apply_machine_list(state, {listed, deleted, outside}, kNow);
+  apply_machine_list(state, {{listed, deleted, outside}, kNow, true}, kNow);
   const auto* machine = state.fleet.find(*state.names.machines.find("host-2"));
   ASSERT_TRUE(machine);
   EXPECT_EQ(machine->partition, leader.partition);
@@ -74,7 +74,7 @@
   EXPECT_TRUE(machine->spot && machine->listed && machine->ever_listed);
   EXPECT_FALSE(state.fleet.find(*state.names.machines.find("host-3")));
   EXPECT_FALSE(state.fleet.find(*state.names.machines.find("host-9"))->partition.valid());
-  apply_machine_list(state, {}, kNow);
+  apply_machine_list(state, {{}, kNow, true}, kNow);
   EXPECT_FALSE(machine->listed);
   EXPECT_TRUE(machine->ever_listed);
 }
--- a/tests/cloud/cloud_client_test.cpp
+++ b/tests/cloud/cloud_client_test.cpp
@@ -84,8 +84,10 @@
   Fixture fixture({{200, kFirstPage}, {200, kLastPage}});
   const auto interval_s = fixture.cloud.list_interval_s();
   const auto result = sim::run_to_completion([&] { return fixture.cloud.machines(); });
-  const auto* machines = std::get_if<std::vector<ListedMachine>>(&result);
-  ASSERT_TRUE(machines);
+  const auto* list = std::get_if<MachineList>(&result);
+  ASSERT_TRUE(list);
+  EXPECT_TRUE(list->complete);
+  const auto* machines = &list->machines;
   ASSERT_EQ(machines->size(), 2u);
   const auto& first = machines->at(0);
   EXPECT_EQ(first.name, "m-1");
@@ -109,7 +111,8 @@
     Error error;
   };
   for (const auto& test_case : {Case{{500, ""}, Error::refused}, Case{{0, ""}, Error::no_answer},
-                                Case{{200, R"({"perches":[]})"}, Error::malformed}}) {
+                                Case{{200, R"({"perches":[]})"}, Error::malformed},
+                                Case{{200, R"({"perches":[],"hasNext":true})"}, Error::malformed}}) {
     Fixture fixture({{200, kFirstPage}, test_case.second_page});
     const auto result = sim::run_to_completion([&] { return fixture.cloud.machines(); });
     ASSERT_TRUE(std::holds_alternative<Error>(result));
@@ -117,6 +120,36 @@
   }
 }
 
+// Guards against a list that is cut off and taken as whole: machines on the pages left out would count as
+// gone.
+TEST(CloudClient, AListOfTooManyPagesIsNotComplete) {
+  constexpr std::size_t kMaxPages = 200;
+  for (const std::size_t pages : {kMaxPages, kMaxPages + 1}) {
+    std::deque<http::ClientResponse> answers(pages - 1, {200, kFirstPage});
+    answers.push_back({200, kLastPage});
+    Fixture fixture(std::move(answers));
+    const auto result = sim::run_to_completion([&] { return fixture.cloud.machines(); });
+    ASSERT_TRUE(std::holds_alternative<MachineList>(result));
+    EXPECT_EQ(std::get<MachineList>(result).complete, pages == kMaxPages) << pages;
+    EXPECT_EQ(fixture.network.targets.size(), kMaxPages);
+  }
+}
+
+// Guards against a list that counts as younger than it is: its pages are answered one after the other, and
+// the first one may be the oldest.
+TEST(CloudClient, AListIsAsOldAsTheRequestOfItsFirstPage) {
+  const core::TimePoint start{core::to_duration(100)};
+  core::SteadyClock::simulate(start);
+  Fixture fixture({{200, kFirstPage}, {200, kLastPage}});
+  fixture.network.on_request = [] {
+    core::SteadyClock::simulate(core::SteadyClock::now() + core::to_duration(3));
+  };
+  const auto result = sim::run_to_completion([&] { return fixture.cloud.machines(); });
+  core::SteadyClock::simulate(std::nullopt);
+  ASSERT_TRUE(std::holds_alternative<MachineList>(result));
+  EXPECT_EQ(std::get<MachineList>(result).requested_at, start);
+}
+
 TEST(CloudClient, ScaleOutReturnsRentedMachinesOrError) {
   struct Case {
     http::ClientResponse answer;
--- a/tests/sim/scripted_network.hpp
+++ b/tests/sim/scripted_network.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
                                                       std::chrono::milliseconds) override {
       script.targets.push_back(std::move(target));
       script.bodies.push_back(std::move(body));
+      if (script.on_request) script.on_request();
       if (script.answers.empty()) co_return http::ClientResponse{};
       auto answer = script.answers.front();
       script.answers.pop_front();
@@ -34,6 +36,7 @@
   }
   std::deque<http::ClientResponse> answers;
   std::vector<std::string> targets, bodies;
+  std::function<void()> on_request;  // called with each request
 };
 
 /// Runs the coroutine that `start` returns to completion and returns its result.
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -269,12 +269,7 @@
       "rate":10.0,"spotPrice":4.0,"readyS":5,"halls":["a","b"]}]})"};
   if (target == "/hosts/release") {
     const auto request = json::parse(body);
-    for (const auto& item : request.at("perches").as_array()) {
-      const std::string name(item.as_string());
-      hosts.erase(name);
-      on_release(name);
-    }
-    return {http::status::kOk, "{}"};
+    return release(request.at("perches").as_array());
   }
   if (verb == http::Verb::post) {
     const auto request = json::parse(body).as_object();
@@ -295,12 +290,34 @@
     for (const auto& name : names) result.emplace_back(name);
     return json_response(http::status::kOk, {{"perches", result}});
   }
-  // The list lags by three seconds, and by up to six if requests are rare.
+  return lagging_list(now);
+}
+
+ClientResponse CloudService::release(const json::array& names) {
+  ++release_requests;
+  std::vector<std::string> machines;
+  for (const auto& name : names) machines.emplace_back(name.as_string());
+  if (refuse_release)
+    if (auto response = refuse_release(machines)) return *response;
+  for (const auto& name : machines) {
+    hosts.erase(name);
+    on_release(name);
+  }
+  return {http::status::kOk, "{}"};
+}
+
+ClientResponse CloudService::lagging_list(TimePoint now) {
+  constexpr double kListLagS = 3;
+  ++list_requests;
   recent_lists_.emplace_back(now, list(now));
-  while (recent_lists_.size() > 1 && (recent_lists_[1].first + core::to_duration(3) <= now ||
-                                      recent_lists_[0].first + core::to_duration(6) < now))
-    recent_lists_.pop_front();
-  return json_response(http::status::kOk, recent_lists_.front().second);
+  while (recent_lists_.front().first + core::to_duration(2 * kListLagS) < now) recent_lists_.pop_front();
+  std::size_t chosen = 0;
+  if (list_age == ListAge::varying) chosen = random_() % recent_lists_.size();
+  if (list_age == ListAge::usual)
+    while (chosen + 1 < recent_lists_.size() &&
+           recent_lists_[chosen + 1].first + core::to_duration(kListLagS) <= now)
+      ++chosen;
+  return json_response(http::status::kOk, recent_lists_[chosen].second);
 }
 
 }  // namespace finchrun::sim
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -138,12 +139,24 @@
   int capacity = 4;              // per zone
   int spot_capacity = 0;         // spot machines per zone
   int machines_never_ready = 0;  // number of the next rented machines that never finish booting
+  // Called with the names of each deletion request. A response is returned instead of deleting the machines.
+  std::function<std::optional<ClientResponse>(const std::vector<std::string>&)> refuse_release;
+  // Which of the lists of the last six seconds a request gets: twice the lag of the settings.
+  enum class ListAge {
+    usual,    // three seconds, up to six if requests are rare
+    longest,  // up to six seconds
+    varying,  // any: a list may be older than the one before it
+  } list_age = ListAge::usual;
+  std::size_t list_requests = 0, release_requests = 0;  // that arrived
   std::string add_machine(const std::string& zone, TimePoint now, double boot_s);
 
  private:
   std::map<std::string, std::vector<std::string>> machines_by_request_;
   std::deque<std::pair<TimePoint, json::object>> recent_lists_;
   json::object list(TimePoint now);
+  ClientResponse lagging_list(TimePoint now);
+  ClientResponse release(const json::array& names);
+  std::mt19937 random_;
   int next_machine_number_ = 0;
 };
 
