Scale in: a machine that the cloud refuses to delete keeps no other from being deleted

Cause: up to 50 machines share a deletion request, always the same ones in the same order; a request refused for one of them was repeated for all, without end. Change: the plan names first the machine whose deletion was requested least recently, with others of which as many requests were refused; each refusal halves the request, down to one machine. Failures while the cloud does not answer its list, or by our own rate limit, don't count. `postponed` keeps `scale in withdrawn` to machines that are not due any more. Tests: LostMachines.ARefusedMachine... failed before (two of three failed machines never deleted), passes now; ScaleInPlan.AMachineThatIsRefused... and HalvesTheRequest... pin the plan: 60 machines, one refused, 16 requests. The tests of the plan read `.request` of its result; nothing else in them changed.

--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -36,8 +36,8 @@
     }
     if (now >= next_list) {
       next_list = now + runtime_.jitter(std::max(kMachineListIntervalS, cloud_.list_interval_s()));
-      co_await refresh_machines();
-      co_await scale_in();
+      const bool cloud_available = co_await refresh_machines();
+      co_await scale_in(cloud_available);
     }
     if (now >= next_scale_out) {
       next_scale_out = now + runtime_.jitter(kScaleOutIntervalS);
@@ -59,26 +59,27 @@
   });
 }
 
-asio::awaitable<void> Autoscaler::refresh_machines() {
+asio::awaitable<bool> Autoscaler::refresh_machines() {
   const auto answer = co_await cloud_.machines();
   const auto* list = std::get_if<cloud::MachineList>(&answer);
-  if (!list) co_return;
+  if (!list) co_return false;
   const auto now = core::SteadyClock::now();
   state_.with([&](ControllerState& state) {
     apply_machine_list(state, *list, now);
     finish_missing_machines(state, *list, now);
   });
+  co_return true;
 }
 
-asio::awaitable<void> Autoscaler::scale_in() {
+asio::awaitable<void> Autoscaler::scale_in(bool cloud_available) {
   const auto now = core::SteadyClock::now();
   const auto decisions = state_.with([&](ControllerState& state) {
     if (!is_current(state, now)) return std::vector<ScaleInDecision>{};
     reconcile_recorded_machines(state, now);
     log_silent_recorded_machines(state, now);
     auto planned = plan_scale_in(state, now);
-    begin_release(state, planned);
-    return planned;
+    begin_release(state, planned, now);
+    return std::move(planned.request);
   });
   if (decisions.empty()) co_return;
   std::vector<std::string> names;
@@ -87,7 +88,7 @@
   state_.with([&](ControllerState& state) {
     for (const auto& decision : decisions) {
       if (const auto* error = std::get_if<cloud::Error>(&answer))
-        fail_release(state, decision, *error);
+        fail_release(state, decision, *error, cloud_available);
       else
         finish_release(state, decision);
     }
--- a/src/autoscaling/autoscaler.hpp
+++ b/src/autoscaling/autoscaler.hpp
@@ -38,8 +38,10 @@
   };
 
   asio::awaitable<void> refresh_machine_types();
-  asio::awaitable<void> refresh_machines();
-  asio::awaitable<void> scale_in();
+  /// Returns true if the cloud has answered with its list.
+  asio::awaitable<bool> refresh_machines();
+  /// `cloud_available`: the cloud has just answered another request.
+  asio::awaitable<void> scale_in(bool cloud_available);
   asio::awaitable<void> scale_out();
   std::optional<Rental> next_rental(core::TimePoint now);
   void add_rented_machines(const MachineKind& kind, const std::vector<std::string>& machines);
--- a/src/autoscaling/machine_release.cpp
+++ b/src/autoscaling/machine_release.cpp
@@ -24,13 +24,23 @@
   return std::max({machine.last_message, machine.first_seen, state.leading_since.at(partition.index)});
 }
 
+bool names_machine(const std::vector<ScaleInDecision>& decisions, core::MachineId id) {
+  return std::any_of(decisions.begin(), decisions.end(),
+                     [id](const auto& decision) { return decision.machine == id; });
+}
+
 }  // namespace
 
-void begin_release(ControllerState& state, const std::vector<ScaleInDecision>& plan) {
-  for (const auto& decision : plan) state.fleet.find(decision.machine)->terminating = true;
-  for (auto& [_, machine] : state.fleet.machines()) {
-    if (!machine.release_failed || machine.terminating) continue;
+void begin_release(ControllerState& state, const ScaleInPlan& plan, core::TimePoint now) {
+  for (const auto& decision : plan.request) {
+    auto& machine = *state.fleet.find(decision.machine);
+    machine.terminating = true;
+    machine.release_requested_at = now;
+  }
+  for (auto& [id, machine] : state.fleet.machines()) {
+    if (!machine.release_failed || machine.terminating || names_machine(plan.postponed, id)) continue;
     machine.release_failed = false;
+    machine.refused_releases = 0;
     spdlog::info("scale in withdrawn machine={}", machine.name);
   }
 }
@@ -42,7 +52,8 @@
   mark_gone(state, *machine);
 }
 
-void fail_release(ControllerState& state, const ScaleInDecision& decision, cloud::Error error) {
+void fail_release(ControllerState& state, const ScaleInDecision& decision, cloud::Error error,
+                  bool cloud_available) {
   auto* machine = state.fleet.find(decision.machine);
   if (!machine) return;
   machine->terminating = false;
@@ -51,6 +62,7 @@
                  name_of(decision.reason), cloud::name_of(error),
                  state.cache.on_machine(decision.machine).size());
   machine->release_failed = true;
+  if (cloud_available && error != cloud::Error::rate_limited) ++machine->refused_releases;
 }
 
 double max_list_age_s(const config::Settings& settings) {
--- a/src/autoscaling/machine_release.hpp
+++ b/src/autoscaling/machine_release.hpp
@@ -2,25 +2,25 @@
 // no I/O.
 #pragma once
 
-#include <vector>
-
 #include "autoscaling/scale_in_plan.hpp"
 #include "cloud/cloud_client.hpp"
 #include "controller/controller_state.hpp"
 
 namespace finchrun::autoscaling {
 
-/// Marks the machines of the plan as terminating, which stops placements on them. Logs the machines whose
-/// deletion failed earlier and is no longer planned.
-void begin_release(controller::ControllerState& state, const std::vector<ScaleInDecision>& plan);
+/// Marks the machines of the plan's request as terminating, which stops placements on them. Logs the machines
+/// whose deletion failed earlier and is no longer planned.
+void begin_release(controller::ControllerState& state, const ScaleInPlan& plan, core::TimePoint now);
 
 /// Marks the machine and its tasks as gone. Called once the cloud has confirmed its deletion, which proves it
 /// (docs/design.md, "Why the rules hold", 3).
 void finish_release(controller::ControllerState& state, const ScaleInDecision& decision);
 
 /// Makes the machine available for the next plan, which requests its deletion again if it is still needed.
-/// Logs the first of successive failures.
-void fail_release(controller::ControllerState& state, const ScaleInDecision& decision, cloud::Error error);
+/// Logs the first of successive failures. `cloud_available`: the cloud has answered its list just before, so
+/// the failure may be due to a machine of the request.
+void fail_release(controller::ControllerState& state, const ScaleInDecision& decision, cloud::Error error,
+                  bool cloud_available);
 
 /// Returns the largest age of a list of the cloud, in seconds, by this process's clock.
 double max_list_age_s(const config::Settings& settings);
--- a/src/autoscaling/scale_in_plan.cpp
+++ b/src/autoscaling/scale_in_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace finchrun::autoscaling {
 namespace {
@@ -118,18 +119,34 @@
   return core::seconds_between(state.synchronized_at, now) <= kMaxStateAgeS;
 }
 
-std::vector<ScaleInDecision> plan_scale_in(const ControllerState& state, core::TimePoint now) {
+std::size_t max_release_batch(const Machine& machine) {
+  constexpr int kMaxHalvings = 6;  // down to a request for the machine alone
+  const auto halvings = static_cast<unsigned>(std::min(machine.refused_releases, kMaxHalvings));
+  return std::max<std::size_t>(1, kMaxReleasesPerPlan >> halvings);
+}
+
+ScaleInPlan plan_scale_in(const ControllerState& state, core::TimePoint now) {
   if (!is_current(state, now)) return {};
   const auto health = partition_health(state, now);
-  std::vector<ScaleInDecision> decisions;
-  for (const auto& [id, machine] : state.fleet.machines()) {
-    if (decisions.size() >= kMaxReleasesPerPlan) break;
+  std::vector<std::pair<const Machine*, ScaleInReason>> due;
+  for (const auto& [_, machine] : state.fleet.machines()) {
     if (!machine.partition.valid() || !state.leads(machine.partition)) continue;
     if (machine.deleted || machine.terminating) continue;
     if (const auto reason = scale_in_reason(state, machine, health[machine.partition.index], now))
-      decisions.push_back({id, machine.name, *reason});
+      due.emplace_back(&machine, *reason);
+  }
+  std::stable_sort(due.begin(), due.end(), [](const auto& left, const auto& right) {
+    return left.first->release_requested_at < right.first->release_requested_at;
+  });
+  ScaleInPlan plan;
+  for (const auto& [machine, reason] : due) {
+    const auto* first = due.front().first;
+    const bool has_room = machine->refused_releases == first->refused_releases &&
+                          plan.request.size() < max_release_batch(*first);
+    auto& decisions = has_room ? plan.request : plan.postponed;
+    decisions.push_back({machine->id, machine->name, reason});
   }
-  return decisions;
+  return plan;
 }
 
 }  // namespace finchrun::autoscaling
--- a/src/autoscaling/scale_in_plan.hpp
+++ b/src/autoscaling/scale_in_plan.hpp
@@ -27,14 +27,25 @@
   ScaleInReason reason = ScaleInReason::idle;
 };
 
-/// Returns the machines to release now, in partitions that this controller leads, at most
-/// `kMaxReleasesPerPlan`. Empty while the state is not current: a controller that was cut off from the
-/// network would see only silent machines, and might still believe that it leads a partition.
-std::vector<ScaleInDecision> plan_scale_in(const controller::ControllerState& state, core::TimePoint now);
+/// The machines to release, in the order of their requests.
+struct ScaleInPlan {
+  std::vector<ScaleInDecision> request;    ///< the machines to release now, in one request
+  std::vector<ScaleInDecision> postponed;  ///< machines to release that the request has no room for
+};
+
+/// Plans the release of machines in partitions that this controller leads. The request names the machine
+/// whose deletion was requested least recently, and others of which as many requests were refused, at most
+/// `max_release_batch`. Empty while the state is not current: a controller that was cut off from the network
+/// would see only silent machines, and might still believe that it leads a partition.
+ScaleInPlan plan_scale_in(const controller::ControllerState& state, core::TimePoint now);
 
 /// Returns true if the last read of the store is recent enough to decide on releases.
 bool is_current(const controller::ControllerState& state, core::TimePoint now);
 
 inline constexpr std::size_t kMaxReleasesPerPlan = 50;
 
+/// Returns the number of machines that a request to delete this one may name. It halves with each request
+/// that failed, so that a machine which the cloud refuses to delete does not keep others from being deleted.
+std::size_t max_release_batch(const agent::Machine& machine);
+
 }  // namespace finchrun::autoscaling
--- a/tests/app/lost_machines_test.cpp
+++ b/tests/app/lost_machines_test.cpp
@@ -80,6 +80,29 @@
                                     ListAge::varying, true}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against tasks that wait for good since their machine's deletion shares its requests with a machine
+// that the cloud refuses to delete. Lists go on to show both, so only a deletion proves one gone.
+TEST(LostMachines, ARefusedMachineDoesNotKeepOthersFromBeingDeleted) {
+  Cluster cluster(41);
+  cluster.faults_over_at = core::SteadyClock::now() + core::to_duration(kTakenAtS);
+  cluster.after(5, [&] { cluster.submit(4, false, 4, 60, "blue", "normal", true, "a"); });
+  cluster.run(kTakenAtS);
+  std::vector<std::string> failed;
+  for (auto& [name, agent] : cluster.agents)
+    if (!agent.tasks.empty() && failed.size() < 3) failed.push_back(name);
+  ASSERT_EQ(failed.size(), 3u);
+  for (const auto& name : failed) cluster.agents.at(name).dead = cluster.cloud.hosts.at(name).dead = true;
+  cluster.cloud.refuse_release = [&](const std::vector<std::string>& machines) {
+    const bool refused = std::find(machines.begin(), machines.end(), failed[1]) != machines.end();
+    return refused ? std::optional(ClientResponse{kRefused, "{}"}) : std::nullopt;
+  };
+  cluster.run(kRestartedWithinS);
+  EXPECT_FALSE(cluster.cloud.hosts.contains(failed[0]));
+  EXPECT_TRUE(cluster.cloud.hosts.contains(failed[1]));
+  EXPECT_FALSE(cluster.cloud.hosts.contains(failed[2]));
+  expect_no_violations(cluster);
+}
+
 // Guards against a task that starts a second time since lists did not show its machine: these lag by twice
 // the setting and go back, while leaders change.
 TEST(LostMachines, MachinesThatListsDoNotShowYetAreNotTakenForLost) {
--- a/tests/autoscaling/machine_release_test.cpp
+++ b/tests/autoscaling/machine_release_test.cpp
@@ -39,10 +39,10 @@
   [[nodiscard]] bool task_has_ended() const {
     return state.fleet.observed_exits.contains({job_id, partition, 0, 7, false});
   }
-  void request_and_fail(cloud::Error error) {
-    begin_release(state, {decision});
+  void request_and_fail(cloud::Error error, bool cloud_available = true) {
+    begin_release(state, {{decision}, {}}, kNow);
     EXPECT_TRUE(machine().terminating);
-    fail_release(state, decision, error);
+    fail_release(state, decision, error, cloud_available);
   }
   void read_list(const cloud::MachineList& list) {
     apply_machine_list(state, list, kNow);
@@ -67,7 +67,7 @@
   Leader leader;
   leader.request_and_fail(cloud::Error::no_answer);
   EXPECT_FALSE(leader.machine().terminating || leader.machine().deleted || leader.task_has_ended());
-  begin_release(leader.state, {leader.decision});
+  begin_release(leader.state, {{leader.decision}, {}}, kNow);
   finish_release(leader.state, leader.decision);
   EXPECT_TRUE(leader.machine().deleted && leader.task_has_ended());
   EXPECT_TRUE(leader.state.fleet.deleted_machines.contains(leader.decision.machine));
@@ -81,17 +81,35 @@
     leader.request_and_fail(error);
   EXPECT_EQ(log.count("scale in failed machine=m reason=silent error=refused tasks=1"), 1);
   EXPECT_EQ(log.count("scale in failed"), 1);
-  begin_release(leader.state, {});
-  begin_release(leader.state, {});
+  begin_release(leader.state, {{}, {leader.decision}}, kNow);
+  EXPECT_EQ(log.count("scale in withdrawn"), 0) << "postponed";
+  begin_release(leader.state, {}, kNow);
+  begin_release(leader.state, {}, kNow);
   EXPECT_EQ(log.count("scale in withdrawn machine=m"), 1);
   leader.request_and_fail(cloud::Error::refused);
   EXPECT_EQ(log.count("scale in failed"), 2);
   finish_release(leader.state, leader.decision);
-  begin_release(leader.state, {});
+  begin_release(leader.state, {}, kNow);
   EXPECT_EQ(log.count("scale in machine=m reason=silent"), 1);
   EXPECT_EQ(log.count("scale in withdrawn"), 1);
 }
 
+// Only a refusal while the cloud is available may be due to the request's machines.
+TEST(MachineRelease, CountsRefusalsWhileTheCloudIsAvailable) {
+  struct Case {
+    cloud::Error error;
+    bool cloud_available;
+    int counted;
+  };
+  for (const auto& c : {Case{cloud::Error::refused, true, 1}, Case{cloud::Error::no_answer, true, 1},
+                        Case{cloud::Error::refused, false, 0}, Case{cloud::Error::rate_limited, true, 0}}) {
+    Leader leader;
+    leader.request_and_fail(c.error, c.cloud_available);
+    EXPECT_EQ(leader.machine().refused_releases, c.counted) << cloud::name_of(c.error) << c.cloud_available;
+    EXPECT_EQ(leader.machine().release_requested_at, kNow);
+  }
+}
+
 // The bounds of the proof: which lists prove that a machine is gone which was seen `seen_s_ago`.
 struct ProofCase {
   const char* name;
--- a/tests/autoscaling/scale_in_plan_test.cpp
+++ b/tests/autoscaling/scale_in_plan_test.cpp
@@ -70,7 +70,7 @@
   Fixture fixture;
   GetParam().arrange(fixture);
   std::optional<ScaleInReason> reason;
-  for (const auto& decision : plan_scale_in(fixture.state, kNow))
+  for (const auto& decision : plan_scale_in(fixture.state, kNow).request)
     if (decision.name == "m") reason = decision.reason;
   EXPECT_EQ(reason, GetParam().reason);
 }
@@ -208,7 +208,43 @@
 TEST(ScaleInPlan, ReleasesNoMoreThanTheLimitAtOnce) {
   Fixture fixture;
   for (int i = 0; i < 60; ++i) fixture.add_healthy_machine("host-" + std::to_string(i)).status = "failed";
-  EXPECT_EQ(plan_scale_in(fixture.state, kNow).size(), kMaxReleasesPerPlan);
+  const auto plan = plan_scale_in(fixture.state, kNow);
+  EXPECT_EQ(plan.request.size(), kMaxReleasesPerPlan);
+  EXPECT_EQ(plan.postponed.size(), 60 - kMaxReleasesPerPlan);
+}
+
+// How many machines a request may name after requests that the cloud refused.
+TEST(ScaleInPlan, HalvesTheRequestWithEachRefusal) {
+  const std::vector<std::size_t> expected{50, 25, 12, 6, 3, 1, 1, 1};
+  agent::Machine machine;
+  for (const auto limit : expected) {
+    EXPECT_EQ(max_release_batch(machine), limit) << machine.refused_releases;
+    ++machine.refused_releases;
+  }
+}
+
+// Guards against one machine that the cloud refuses to delete, in whose request all others are refused too.
+TEST(ScaleInPlan, AMachineThatIsRefusedDoesNotKeepOthersFromBeingReleased) {
+  constexpr int kMachines = 60, kRequests = 16;
+  Fixture fixture;
+  for (int i = 0; i < kMachines; ++i)
+    fixture.add_healthy_machine("host-" + std::to_string(i)).status = "failed";
+  const std::string refused = "host-7";
+  for (int request = 0; request < kRequests; ++request) {
+    const auto now = kNow + core::to_duration(request);
+    fixture.state.synchronized_at = now;
+    const auto plan = plan_scale_in(fixture.state, now);
+    const bool is_refused = std::any_of(plan.request.begin(), plan.request.end(),
+                                        [&](const auto& decision) { return decision.name == refused; });
+    for (const auto& decision : plan.request) {
+      auto& machine = *fixture.state.fleet.find(decision.machine);
+      machine.release_requested_at = now;
+      machine.deleted = !is_refused;
+      machine.refused_releases += is_refused ? 1 : 0;
+    }
+  }
+  for (const auto& [_, machine] : fixture.state.fleet.machines())
+    EXPECT_EQ(machine.deleted, machine.name != "m" && machine.name != refused) << machine.name;
 }
 
 }  // namespace
--- a/tests/gateway/agent_decisions_test.cpp
+++ b/tests/gateway/agent_decisions_test.cpp
@@ -90,7 +90,7 @@
   EXPECT_EQ(machine.type, leader.state.names.types.find("g4"));
   EXPECT_TRUE(machine.spot);
   leader.assign(leader.job_id, {{0, 7, machine.id, 1}});
-  const auto decisions = autoscaling::plan_scale_in(leader.state, kNow);
+  const auto decisions = autoscaling::plan_scale_in(leader.state, kNow).request;
   ASSERT_EQ(decisions.size(), 1u);
   EXPECT_EQ(decisions[0].name, "host-100001");
   EXPECT_EQ(decisions[0].reason, autoscaling::ScaleInReason::unlisted);
