Scale in: deletion requests grow again once the cloud confirms deletions

Seen by callers: none so far; found on reading the change again. After minutes in which the cloud refused all deletions, each machine's request had been halved down to one, so 200 machines would have been deleted one by one, a list apart. Cause: refusals were counted and never taken back while the machine stayed due. Change: each confirmed request takes one refusal back from all machines (`forgive_refused_releases`); the count ends at six. Tests: ScaleInPlan.RequestsGrowAgain...: 200 machines, 600 refused requests, then 40 answered ones, also with one machine refused for good; passes.

--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -79,7 +79,8 @@
   bool silence_logged = false;  ///< the log tells that tasks are recorded on the machine while it is silent
   bool release_failed = false;  ///< the cloud did not confirm the last requested deletion; the log tells it
   core::TimePoint release_requested_at{};  ///< time of the last request for its deletion
-  int refused_releases = 0;  ///< number of such requests that failed while the cloud was available
+  int refused_releases =
+      0;  ///< requests that failed while the cloud was available, less later confirmed ones
 
   // --- Reservation: capacity is being freed here for this job.
   core::JobId reserved_for;
--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -92,6 +92,7 @@
       else
         finish_release(state, decision);
     }
+    if (std::holds_alternative<cloud::Released>(answer)) forgive_refused_releases(state);
   });
 }
 
--- a/src/autoscaling/machine_release.cpp
+++ b/src/autoscaling/machine_release.cpp
@@ -62,7 +62,13 @@
                  name_of(decision.reason), cloud::name_of(error),
                  state.cache.on_machine(decision.machine).size());
   machine->release_failed = true;
-  if (cloud_available && error != cloud::Error::rate_limited) ++machine->refused_releases;
+  if (cloud_available && error != cloud::Error::rate_limited)
+    machine->refused_releases = std::min(machine->refused_releases + 1, kMaxReleaseHalvings);
+}
+
+void forgive_refused_releases(ControllerState& state) {
+  for (auto& [_, machine] : state.fleet.machines())
+    if (machine.refused_releases > 0) --machine.refused_releases;
 }
 
 double max_list_age_s(const config::Settings& settings) {
--- a/src/autoscaling/machine_release.hpp
+++ b/src/autoscaling/machine_release.hpp
@@ -22,6 +22,10 @@
 void fail_release(controller::ControllerState& state, const ScaleInDecision& decision, cloud::Error error,
                   bool cloud_available);
 
+/// Called after a request that the cloud confirmed: machines whose earlier requests were refused may share
+/// larger requests again, since the cause may have been the cloud.
+void forgive_refused_releases(controller::ControllerState& state);
+
 /// Returns the largest age of a list of the cloud, in seconds, by this process's clock.
 double max_list_age_s(const config::Settings& settings);
 
--- a/src/autoscaling/scale_in_plan.cpp
+++ b/src/autoscaling/scale_in_plan.cpp
@@ -120,8 +120,7 @@
 }
 
 std::size_t max_release_batch(const Machine& machine) {
-  constexpr int kMaxHalvings = 6;  // down to a request for the machine alone
-  const auto halvings = static_cast<unsigned>(std::min(machine.refused_releases, kMaxHalvings));
+  const auto halvings = static_cast<unsigned>(std::min(machine.refused_releases, kMaxReleaseHalvings));
   return std::max<std::size_t>(1, kMaxReleasesPerPlan >> halvings);
 }
 
--- a/src/autoscaling/scale_in_plan.hpp
+++ b/src/autoscaling/scale_in_plan.hpp
@@ -43,6 +43,7 @@
 bool is_current(const controller::ControllerState& state, core::TimePoint now);
 
 inline constexpr std::size_t kMaxReleasesPerPlan = 50;
+inline constexpr int kMaxReleaseHalvings = 6;  // down to a request for one machine
 
 /// Returns the number of machines that a request to delete this one may name. It halves with each request
 /// that failed, so that a machine which the cloud refuses to delete does not keep others from being deleted.
--- a/tests/autoscaling/scale_in_plan_test.cpp
+++ b/tests/autoscaling/scale_in_plan_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "assignments/single_partition.hpp"
+#include "autoscaling/machine_release.hpp"
 
 namespace finchrun::autoscaling {
 namespace {
@@ -247,5 +248,36 @@
     EXPECT_EQ(machine.deleted, machine.name != "m" && machine.name != refused) << machine.name;
 }
 
+// Guards against machines that are deleted one by one, for minutes, after a time in which the cloud refused
+// all deletions: their requests had been halved, and never grew again. One machine may stay refused.
+TEST(ScaleInPlan, RequestsGrowAgainOnceDeletionsAreConfirmed) {
+  constexpr int kMachines = 200, kRefusedRequests = 600, kLaterRequests = 40;
+  for (const std::string refused_for_good : {"none", "host-7"}) {
+    Fixture fixture;
+    for (int i = 0; i < kMachines; ++i)
+      fixture.add_healthy_machine("host-" + std::to_string(i)).status = "failed";
+    for (int request = 0; request < kRefusedRequests + kLaterRequests; ++request) {
+      const auto now = kNow + core::to_duration(request);
+      fixture.state.synchronized_at = now;
+      fixture.machine().last_heartbeat = fixture.machine().idle_since = now;
+      const auto plan = plan_scale_in(fixture.state, now);
+      begin_release(fixture.state, plan, now);
+      const bool is_refused =
+          request < kRefusedRequests ||
+          std::any_of(plan.request.begin(), plan.request.end(),
+                      [&](const auto& decision) { return decision.name == refused_for_good; });
+      for (const auto& decision : plan.request) {
+        if (is_refused)
+          fail_release(fixture.state, decision, cloud::Error::refused, true);
+        else
+          finish_release(fixture.state, decision);
+      }
+      if (!is_refused) forgive_refused_releases(fixture.state);
+    }
+    for (const auto& [_, machine] : fixture.state.fleet.machines())
+      EXPECT_EQ(machine.deleted, machine.name != "m" && machine.name != refused_for_good) << machine.name;
+  }
+}
+
 }  // namespace
 }  // namespace finchrun::autoscaling
