--- a/src/agent/fleet.hpp
+++ b/src/agent/fleet.hpp
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -20,9 +19,6 @@
 
 namespace finchrun::agent {
 
-/// Key of one attempt to run a task: job, task, attempt. Attempt numbers are unique within a job.
-using TaskAttempt = std::tuple<core::JobId, std::uint32_t, std::uint64_t>;
-
 /// A task attempt that is certainly not on its machine any more, while the key-value store still has its
 /// assignment. Detected by the rules of docs/design.md "When a task is gone"; kept until the end is recorded.
 struct ObservedExit {
@@ -34,15 +30,6 @@
   auto operator<=>(const ObservedExit&) const = default;
 };
 
-/// A start command that was sent directly to the agent. Until it is answered, or a new leader's fencing token
-/// makes it void, the agent may execute it at any later time, so the task stays assigned (rule `ran_twice`).
-struct DirectStart {
-  std::uint64_t fencing_token = 0;  ///< under which the command was sent
-  /// Sequence number of the agent's answer; empty while there is none and the command may still be executed.
-  std::optional<std::uint64_t> answered_sequence;
-  core::TimePoint sent_at{};
-};
-
 /// A stop command that is sent directly to the agent and repeated until the task is proved gone.
 struct StopRetry {
   core::TimePoint next_at{};  ///< time of the next send
@@ -78,7 +65,6 @@
 
   /// Attempts that a heartbeat has shown on their machine, with the time of the first such heartbeat.
   std::map<TaskAttempt, core::TimePoint> confirmed_starts;
-  std::map<TaskAttempt, DirectStart> direct_starts;
   /// Machines that are proved gone: the cloud has confirmed the deletion, or its list shows it. Late
   /// heartbeats and lists don't add them again.
   std::set<core::MachineId> deleted_machines;
--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -75,7 +75,8 @@
       result_.kind = HeartbeatResult::Kind::outdated;
       return std::move(result_);
     }
-    if (heartbeat_.fencing_token > context_.fencing_token) {
+    const auto& tokens = context_.tokens;
+    if (heartbeat_.fencing_token > std::max(machine_.command_token(tokens), tokens.highest_available)) {
       result_.kind = HeartbeatResult::Kind::superseded;
       return std::move(result_);
     }
@@ -121,6 +122,9 @@
     machine_.agent_incarnation = heartbeat_.agent_incarnation;
     machine_.sequence = heartbeat_.sequence;
     machine_.fencing_token = heartbeat_.fencing_token;
+    // This controller gave the agent a raised token before the machine was dropped from the fleet.
+    if (is_trusted()) machine_.raised_token = std::max(machine_.raised_token, heartbeat_.fencing_token);
+    machine_.direct_starts.drop_void(heartbeat_.agent_incarnation, heartbeat_.fencing_token);
     // An answer to a direct command doesn't show that the agent can reach this controller. An agent that
     // can't loses its lease, and with it every task placed there.
     if (!context_.is_direct_answer) machine_.last_heartbeat = context_.now;
@@ -174,13 +178,17 @@
 
   /// Handles an assigned task that the heartbeat shows as ended (rule 3).
   void handle_exit(const MachineAssignment& item, const TaskStatus& status, bool is_replica) {
+    supersede_start(attempt_of(item));
     auto observed_exit = exit_of(item);
     // A replica runs again, whatever the cause of its end.
     observed_exit.done = status.cause == ExitCause::done && !is_replica;
     if (!context_.fleet.observed_exits.insert(observed_exit).second) return;
     result_.exits_observed = true;
-    spdlog::info("task ended job={} task={} attempt={} machine={} reason={} checkpoint_saved={}", status.job,
-                 status.task, status.attempt, machine_.name, name_of(status.cause), status.checkpoint_saved);
+    spdlog::info(
+        "task ended job={} task={} attempt={} machine={} reason={} checkpoint_saved={} "
+        "agent_fencing_token={} fencing_token={}",
+        status.job, status.task, status.attempt, machine_.name, name_of(status.cause),
+        status.checkpoint_saved, heartbeat_.fencing_token, machine_.command_token(context_.tokens));
     if (status.cause == ExitCause::error || status.cause == ExitCause::unknown) record_failure(item.job);
     if (status.cause == ExitCause::no_room)
       machine_.cordoned_until = context_.now + core::to_duration(kCordonWithoutRoomS);
@@ -204,31 +212,40 @@
   /// start command is sent.
   void handle_missing(const MachineAssignment& item, bool unwanted) {
     const auto attempt = attempt_of(item);
-    if (proves_absence(attempt) && (unwanted || context_.fleet.confirmed_starts.contains(attempt)))
-      return observe_exit(exit_of(item));
+    if (is_trusted() && !context_.is_direct_answer &&
+        (unwanted || context_.fleet.confirmed_starts.contains(attempt))) {
+      if (!may_still_start(attempt)) return observe_exit(exit_of(item));
+      supersede_start(attempt);  // the next heartbeat then proves the absence
+      return;
+    }
     if (unwanted || !context_.starts_allowed) return;
     if (item.assignment.agent_incarnation != heartbeat_.agent_incarnation) return;
+    // The agent may replace an ended attempt of the task, and so forget it.
+    if (!supersede(machine_.direct_starts.token_of_other_attempts(attempt))) return;
     result_.commands.push_back({Command::Kind::start, context_.names.jobs.name(item.job),
                                 item.assignment.task, item.assignment.attempt, 0});
   }
 
-  /// Returns true if a task missing from the heartbeat is gone (rules 3 and 4): no start command for it is in
-  /// flight. Start commands in answers to earlier heartbeats are void once the agent sends this one.
-  [[nodiscard]] bool proves_absence(const TaskAttempt& attempt) const {
-    return is_trusted() && !context_.is_direct_answer && !may_still_start(attempt);
-  }
-
   /// Returns true if the agent had seen this controller's fencing token. Only then does the heartbeat prove
   /// that no command of an earlier leader can still be executed.
-  [[nodiscard]] bool is_trusted() const { return heartbeat_.fencing_token == context_.fencing_token; }
+  [[nodiscard]] bool is_trusted() const { return heartbeat_.fencing_token >= context_.tokens.of_partition; }
 
-  /// Returns true if a direct start command may be executed after this heartbeat was sent.
+  /// Returns true if a direct start command, or a copy of it, may be executed after this heartbeat was sent.
+  /// Start commands in answers to earlier heartbeats are void once the agent sends this one (rule 4).
   [[nodiscard]] bool may_still_start(const TaskAttempt& attempt) const {
-    const auto found = context_.fleet.direct_starts.find(attempt);
-    if (found == context_.fleet.direct_starts.end()) return false;
-    const auto& direct_start = found->second;
-    if (direct_start.fencing_token != context_.fencing_token) return false;
-    return !direct_start.answered_sequence || heartbeat_.sequence <= *direct_start.answered_sequence;
+    return machine_.direct_starts.token_of(attempt).has_value();
+  }
+
+  /// Lets the answer to this heartbeat make the attempt's direct start void. Returns false if it can't.
+  bool supersede_start(const TaskAttempt& attempt) {
+    return supersede(machine_.direct_starts.token_of(attempt));
+  }
+  bool supersede(std::optional<std::uint64_t> start_token) {
+    if (!start_token) return true;
+    // An answer to a direct command gets no answer itself, and the next direct command would overtake the
+    // answer to a heartbeat.
+    if (context_.is_direct_answer) return false;
+    return machine_.raise_command_token(*start_token, context_.tokens);
   }
 
   /// Sends a stop command. A preempted task gets a grace period to save its checkpoint.
@@ -242,22 +259,30 @@
   /// Handles tasks without an assignment: their end is already recorded, or an earlier leader's start was
   /// abandoned.
   void handle_unrecorded_tasks() {
+    const auto known_before = machine_.unrecorded_tasks;
     machine_.unrecorded_tasks = 0;
     for (std::size_t i = 0; i < heartbeat_.tasks.size(); ++i) {
       if (recorded_[i]) continue;
       const auto& status = heartbeat_.tasks[i];
       if (status.state != TaskState::ended) {
-        ++machine_.unrecorded_tasks;
+        if (++machine_.unrecorded_tasks > known_before) log_unrecorded(status);
         result_.commands.push_back({Command::Kind::stop, status.job, status.task, status.attempt, 0});
         continue;
       }
-      // If the agent forgot the attempt, a late copy of its start command would start it again (rule 4).
+      // Once the agent has forgotten the attempt, only a higher fencing token refuses copies of its start.
       const auto job = context_.names.jobs.find(status.job);
-      if (job && may_still_start({*job, status.task, status.attempt})) continue;
+      if (job && !supersede_start({*job, status.task, status.attempt})) continue;
       result_.commands.push_back({Command::Kind::forget, status.job, status.task, status.attempt, 0});
     }
   }
 
+  void log_unrecorded(const TaskStatus& status) const {
+    spdlog::warn(
+        "task not recorded job={} task={} attempt={} machine={} agent_fencing_token={} fencing_token={}",
+        status.job, status.task, status.attempt, machine_.name, heartbeat_.fencing_token,
+        machine_.command_token(context_.tokens));
+  }
+
   void observe_exit(const ObservedExit& observed_exit) {
     result_.exits_observed |= context_.fleet.observed_exits.insert(observed_exit).second;
   }
--- a/src/agent/heartbeat_handler.hpp
+++ b/src/agent/heartbeat_handler.hpp
@@ -29,7 +29,7 @@
   state::StateCache& cache;
   Fleet& fleet;
   std::unordered_map<core::JobId, JobFailures>& job_failures;
-  std::uint64_t fencing_token = 0;  ///< of the machine's partition, which this controller leads
+  FencingTokens tokens;  ///< of the machine's partition, which this controller leads
   core::TimePoint now;
   double lease_s = 0;  ///< an agent without an answer for this long stops its tasks
   /// False while the state cache is stale, since jobs may have finished or been cancelled.
--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "agent/direct_starts.hpp"
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 
@@ -23,6 +24,14 @@
   bool spot = false;
 };
 
+/// The fencing tokens that the leader of a partition may use for its agents.
+struct FencingTokens {
+  std::uint64_t of_partition = 0;  ///< the revision of the leadership record
+  /// Any token up to this one is above those of earlier leaders and below those of later ones
+  /// (docs/design.md "Why the rules hold", 4).
+  std::uint64_t highest_available = 0;
+};
+
 /// One machine, as shown by the cloud's list, its agent's heartbeats and the answers to direct commands. This
 /// state is not durable; a new leader rebuilds it from the list and the heartbeats.
 struct Machine : MachineIdentity {
@@ -50,6 +59,12 @@
   /// seemed unable to reach the leader.
   bool relayed_without_redirect = false;
 
+  // --- Commands.
+  /// The highest fencing token above the partition's own that this controller has used for the agent; 0:
+  /// none. Read it through `command_token`.
+  std::uint64_t raised_token = 0;
+  DirectStarts direct_starts;
+
   // --- Whether messages of this controller reach the agent.
   /// Time of the last probe. Probes go to agents that don't know this controller's fencing token or may be
   /// unreachable.
@@ -102,6 +117,16 @@
     return has_heartbeat &&
            std::pair(incarnation, message_sequence) <= std::pair(agent_incarnation, sequence);
   }
+  /// Returns the fencing token of messages to the agent.
+  [[nodiscard]] std::uint64_t command_token(FencingTokens tokens) const {
+    return std::max(tokens.of_partition, raised_token);
+  }
+  /// Makes `command_token` higher than `superseded`, so that the agent refuses what was sent under
+  /// `superseded` once it has received a message with it. Returns false if no such token is available.
+  bool raise_command_token(std::uint64_t superseded, FencingTokens tokens) {
+    if (command_token(tokens) <= superseded) raised_token = std::max(raised_token, tokens.highest_available);
+    return command_token(tokens) > superseded;
+  }
   [[nodiscard]] bool has_image(core::ImageId image) const {
     return std::any_of(cached_images.begin(), cached_images.end(),
                        [&](const auto& held) { return held.first == image; });
--- a/src/controller/controller_state.cpp
+++ b/src/controller/controller_state.cpp
@@ -37,15 +37,10 @@
 }
 
 // Drops the state of an attempt whose end needs no record any more.
-void forget_attempt(agent::Fleet& fleet, const agent::TaskAttempt& attempt, std::uint64_t fencing_token) {
+void forget_attempt(agent::Fleet& fleet, const agent::TaskAttempt& attempt) {
   fleet.confirmed_starts.erase(attempt);
   fleet.preempting.erase(attempt);
   fleet.stop_retries.erase(attempt);
-  const auto start = fleet.direct_starts.find(attempt);
-  if (start == fleet.direct_starts.end()) return;
-  // The agent may still execute an unanswered start while it obeys this fencing token.
-  if (start->second.answered_sequence || start->second.fencing_token != fencing_token)
-    fleet.direct_starts.erase(start);
 }
 
 // Returns true if the job class has objectives, and all of them are deadlines.
@@ -123,7 +118,7 @@
 }
 
 bool ControllerState::is_schedulable(const agent::Machine& machine, core::TimePoint now) const {
-  const bool obeys = machine.has_heartbeat && machine.fencing_token == fencing_token(machine.partition);
+  const bool obeys = machine.has_heartbeat && machine.fencing_token >= fencing_token(machine.partition);
   if (!obeys || machine.is_unreachable() || machine.unrecorded_tasks > 0) return false;
   if (machine.termination_notice_s || machine.quarantined || machine.terminating || machine.deleted)
     return false;
@@ -145,7 +140,7 @@
                                                         const wire::Heartbeat& heartbeat, core::TimePoint now,
                                                         bool is_direct_answer) {
   const bool starts_allowed = core::seconds_between(synchronized_at, now) < kMaxStateAgeToStartS;
-  return agent::handle_heartbeat({names, cache, fleet, job_failures, fencing_token(machine.partition), now,
+  return agent::handle_heartbeat({names, cache, fleet, job_failures, fencing_tokens(machine.partition), now,
                                   settings.agent_lease_s, starts_allowed, is_direct_answer},
                                  machine, heartbeat);
 }
@@ -159,7 +154,7 @@
       ++it;
       continue;
     }
-    forget_attempt(fleet, {exit.job, exit.task, exit.attempt}, fencing_token(exit.partition));
+    forget_attempt(fleet, {exit.job, exit.task, exit.attempt});
     it = fleet.observed_exits.erase(it);
   }
 }
--- a/src/controller/controller_state.hpp
+++ b/src/controller/controller_state.hpp
@@ -1,6 +1,7 @@
 // The state that the components of a controller share, protected by one lock.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -123,6 +124,17 @@
     return cache.leadership(partition).revision;
   }
 
+  /// Returns the fencing tokens for the partition's agents. The leader may use any token up to the revision
+  /// at which it has seen its own leadership record unchanged: the next leadership record has a higher one.
+  [[nodiscard]] agent::FencingTokens fencing_tokens(core::PartitionId partition) const {
+    const auto token = fencing_token(partition);
+    return {token, leads(partition) ? std::max(token, cache.revision()) : token};
+  }
+  /// Returns the fencing token of messages to the machine's agent.
+  [[nodiscard]] std::uint64_t command_token(const agent::Machine& machine) const {
+    return machine.command_token(fencing_tokens(machine.partition));
+  }
+
   /// Returns true while a write of this process got no answer and may still be applied: the partition's fence
   /// has not moved since, and no newer leadership record is known. Does not depend on `leads`, which is also
   /// false for a moment under the same fencing token, while the cache is reloaded.
@@ -185,9 +197,8 @@
   /// been cancelled (rule `ran_cancelled`).
   agent::HeartbeatResult apply_heartbeat(agent::Machine& machine, const wire::Heartbeat& heartbeat,
                                          core::TimePoint now, bool is_direct_answer);
-  /// Drops observed exits that have been recorded, or whose partition another controller leads, with all
-  /// other state of these attempts. An unanswered direct start is kept, since the agent may still execute it
-  /// under this fencing token.
+  /// Drops observed exits that have been recorded, or whose partition another controller leads, with the
+  /// other state of these attempts. Their direct starts are kept while the agent may still execute them.
   void drop_recorded_exits();
 
   // Jobs.
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -82,13 +82,15 @@
   return !leader.empty() && state.is_member_alive(leader) ? LeaderStatus::alive : LeaderStatus::missing;
 }
 
-std::optional<core::TimePoint> oldest_unanswered_start(const ControllerState& state,
-                                                       core::PartitionId partition) {
-  std::optional<core::TimePoint> oldest;
-  const auto fencing_token = state.fencing_token(partition);
-  for (const auto& [task, start] : state.fleet.direct_starts) {
-    if (start.answered_sequence || start.fencing_token != fencing_token) continue;
-    oldest = std::min(oldest.value_or(start.sent_at), start.sent_at);
+// Returns, by partition, the time at which the oldest direct start under the partition's fencing token was
+// sent that has no answer.
+std::vector<std::optional<core::TimePoint>> oldest_unanswered_starts(const ControllerState& state) {
+  std::vector<std::optional<core::TimePoint>> oldest(state.partitions.size());
+  for (const auto& [_, machine] : state.fleet.machines()) {
+    if (!machine.partition.valid() || machine.direct_starts.size() == 0) continue;
+    const auto sent_at = machine.direct_starts.oldest_unanswered(state.fencing_token(machine.partition));
+    auto& of_partition = oldest[machine.partition.index];
+    if (sent_at) of_partition = std::min(of_partition.value_or(*sent_at), *sent_at);
   }
   return oldest;
 }
@@ -153,6 +155,7 @@
     }
   }
   LeadershipSnapshot snapshot{state.settings.label, alive_since_, {}};
+  const auto unanswered_starts = oldest_unanswered_starts(state);
   for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
     const core::PartitionId partition{index};
     const auto status = leader_status(state, partition);
@@ -160,8 +163,7 @@
     auto& missing_since = state.leader_missing_since[index];
     if (status == LeaderStatus::this_process || status == LeaderStatus::alive) missing_since = {};
     if (status == LeaderStatus::missing && missing_since == core::TimePoint{}) missing_since = now;
-    const auto unanswered =
-        status == LeaderStatus::this_process ? oldest_unanswered_start(state, partition) : std::nullopt;
+    const auto unanswered = status == LeaderStatus::this_process ? unanswered_starts[index] : std::nullopt;
     snapshot.partitions.push_back({partition, state.cache.leadership(partition).leader, status, missing_since,
                                    state.partitions.leader_preference(partition), unanswered});
   }
--- a/src/gateway/agent_commands.hpp
+++ b/src/gateway/agent_commands.hpp
@@ -12,6 +12,12 @@
 
 namespace asio = boost::asio;
 
+/// The endpoint of an agent, with the fencing token and the incarnation that commands to it carry.
+struct AgentAddress {
+  std::string endpoint;
+  std::uint64_t fencing_token = 0, agent_incarnation = 0;
+};
+
 /// Sends commands to agents without waiting for their next heartbeat. Each answer is a heartbeat and is
 /// handled as one.
 class AgentCommands {
@@ -24,13 +30,14 @@
   /// until the process ends.
   asio::awaitable<void> run_probes();
   /// Sends the commands; `starts` lists the attempts that they start. Omits starts that have become void
-  /// since they were recorded. Best effort: an unanswered start stays in `Fleet::direct_starts`, and later
-  /// heartbeats show whether it was executed.
+  /// since they were recorded. Best effort: a start without an answer stays in `Machine::direct_starts`, and
+  /// later heartbeats show whether it was executed.
   asio::awaitable<void> send(core::MachineId machine, std::vector<wire::Command> commands,
                              std::vector<agent::TaskAttempt> starts);
 
  private:
-  asio::awaitable<CommandAnswer> call(core::MachineId machine, std::vector<wire::Command> commands);
+  asio::awaitable<CommandAnswer> call(core::MachineId machine, AgentAddress address,
+                                      std::vector<wire::Command> commands);
   asio::awaitable<void> probe(core::MachineId machine);
 
   controller::Runtime& runtime_;
--- a/src/gateway/agent_gateway.cpp
+++ b/src/gateway/agent_gateway.cpp
@@ -60,7 +60,7 @@
     // An outdated heartbeat changes nothing and is answered without commands. The answer to a direct command
     // may have overtaken it, and a refusal would make its agent try all other controllers in turn.
     return http::Response{http::status::kOk,
-                          wire::render_commands(state.fencing_token(*partition), result.commands)};
+                          wire::render_commands(state.command_token(machine), result.commands)};
   });
   if (exits_observed) writer_wakeup_.notify();
   return response;
--- a/src/gateway/direct_commands.cpp
+++ b/src/gateway/direct_commands.cpp
@@ -51,6 +51,22 @@
   });
 }
 
+// Erases the starts for which the predicate is true, with their commands.
+template <class Predicate>
+void erase_starts(const ControllerState& state, std::vector<wire::Command>& commands,
+                  std::vector<agent::TaskAttempt>& starts, Predicate is_erased) {
+  std::erase_if(starts, [&](const agent::TaskAttempt& start) {
+    if (!is_erased(start)) return false;
+    const auto& [job, task, attempt] = start;
+    const auto& job_name = state.names.jobs.name(job);
+    std::erase_if(commands, [&, task = task, attempt = attempt](const wire::Command& command) {
+      return command.kind == wire::Command::Kind::start && command.task == task &&
+             command.attempt == attempt && command.job == job_name;
+    });
+    return true;
+  });
+}
+
 }  // namespace
 
 const char* name_of(Delivery delivery) {
@@ -61,8 +77,8 @@
       return "no_answer";
     case Delivery::executed:
       return "executed";
-    case Delivery::other_incarnation:
-      return "other_incarnation";
+    case Delivery::conflict:
+      return "conflict";
     case Delivery::malformed:
       return "malformed";
     case Delivery::unexpected:
@@ -83,7 +99,7 @@
       result.delivery = heartbeat ? Delivery::executed : Delivery::unexpected;
       break;
     case http::status::kConflict:
-      result.delivery = Delivery::other_incarnation;
+      result.delivery = Delivery::conflict;
       break;
     case http::status::kBadRequest:
       result.delivery = Delivery::malformed;
@@ -121,18 +137,29 @@
 void drop_void_starts(const ControllerState& state, const agent::Machine& machine, core::TimePoint now,
                       std::vector<wire::Command>& commands, std::vector<agent::TaskAttempt>& starts) {
   const bool suspended = direct_starts_suspended(machine, now);
-  std::erase_if(starts, [&](const agent::TaskAttempt& start) {
-    if (!suspended && is_still_valid(state, machine, start)) return false;
-    const auto& [job, task, attempt] = start;
-    const auto& job_name = state.names.jobs.name(job);
-    std::erase_if(commands, [&, task = task, attempt = attempt](const wire::Command& command) {
-      return command.kind == wire::Command::Kind::start && command.task == task &&
-             command.attempt == attempt && command.job == job_name;
-    });
-    return true;
+  erase_starts(state, commands, starts, [&](const agent::TaskAttempt& start) {
+    return suspended || !is_still_valid(state, machine, start);
   });
 }
 
+void supersede_earlier_attempts(const ControllerState& state, agent::Machine& machine,
+                                std::vector<wire::Command>& commands,
+                                std::vector<agent::TaskAttempt>& starts) {
+  const auto tokens = state.fencing_tokens(machine.partition);
+  erase_starts(state, commands, starts, [&](const agent::TaskAttempt& start) {
+    const auto earlier = machine.direct_starts.token_of_other_attempts(start);
+    return earlier && !machine.raise_command_token(*earlier, tokens);
+  });
+}
+
+bool is_overtaken(const ControllerState& state, const agent::Machine& machine, std::uint64_t fencing_token,
+                  const CommandAnswer& answer) {
+  if (answer.delivery != Delivery::conflict || !answer.heartbeat || !state.leads(machine.partition))
+    return false;
+  const auto agent_token = answer.heartbeat->fencing_token;
+  return agent_token > fencing_token && agent_token <= state.command_token(machine);
+}
+
 bool apply_answer(ControllerState& state, core::MachineId id, std::uint64_t addressed_incarnation,
                   const CommandAnswer& answer, core::TimePoint now) {
   auto* machine = state.fleet.find(id);
--- a/src/gateway/direct_commands.hpp
+++ b/src/gateway/direct_commands.hpp
@@ -12,19 +12,19 @@
 
 /// The outcome of sending direct commands to an agent.
 enum class Delivery {
-  not_sent,           ///< this controller no longer leads the partition, or the agent's address is unknown
-  no_answer,          ///< the agent may execute the commands at any later time under their fencing token
-  executed,           ///< the agent answered with a heartbeat
-  other_incarnation,  ///< not executed: the agent is in another incarnation than the one addressed
-  malformed,          ///< not executed: the agent could not parse the commands
-  unexpected,         ///< the answer proves nothing, for example because it comes from a proxy
+  not_sent,    ///< this controller no longer leads the partition, or the agent's address is unknown
+  no_answer,   ///< the agent may execute the commands at any later time under their fencing token
+  executed,    ///< the agent answered with a heartbeat
+  conflict,    ///< not executed: the agent is in a later incarnation or obeys a higher fencing token
+  malformed,   ///< not executed: the agent could not parse the commands
+  unexpected,  ///< the answer proves nothing, for example because it comes from a proxy
 };
 const char* name_of(Delivery delivery);
 
 /// The answer to direct commands.
 struct CommandAnswer {
   Delivery delivery = Delivery::not_sent;
-  std::optional<wire::Heartbeat> heartbeat;  ///< for `executed`, and for `other_incarnation` if readable
+  std::optional<wire::Heartbeat> heartbeat;  ///< for `executed`, and for `conflict` if readable
   /// Sequence number of the answer, if the commands were executed.
   [[nodiscard]] std::optional<std::uint64_t> sequence() const {
     if (delivery != Delivery::executed) return std::nullopt;
@@ -47,6 +47,18 @@
                       core::TimePoint now, std::vector<wire::Command>& commands,
                       std::vector<agent::TaskAttempt>& starts);
 
+/// Raises the machine's command token above the starts of earlier attempts of the same tasks, which the agent
+/// may forget when it starts the new ones. Removes the starts, with their commands, for which no such token
+/// is available yet; the answers to later heartbeats start these.
+void supersede_earlier_attempts(const controller::ControllerState& state, agent::Machine& machine,
+                                std::vector<wire::Command>& commands,
+                                std::vector<agent::TaskAttempt>& starts);
+
+/// Returns true if the agent refused commands with this fencing token because a message of this controller
+/// with a raised one had overtaken them, so that they can be sent again.
+bool is_overtaken(const controller::ControllerState& state, const agent::Machine& machine,
+                  std::uint64_t fencing_token, const CommandAnswer& answer);
+
 /// Updates the machine from the answer. `addressed_incarnation`: the incarnation that the commands were sent
 /// to. Returns true if exits were observed and have to be recorded.
 bool apply_answer(controller::ControllerState& state, core::MachineId machine,
--- a/tests/agent/heartbeat_handler_test.cpp
+++ b/tests/agent/heartbeat_handler_test.cpp
@@ -12,8 +12,8 @@
 using wire::ExitCause;
 using wire::TaskState;
 
-// One partition, one machine "m" in incarnation 2, and one assignment: task 0, attempt 7 on "m". The leader's
-// fencing token is 50.
+// One partition, one machine "m" in incarnation 2, and one assignment: task 0, attempt 7 on "m". The
+// partition's fencing token is 50; `available_token` is the highest that its leader may use.
 struct Fixture {
   explicit Fixture(bool gang = false, std::uint32_t tasks = 1) : cache(add_names(names), 1, 1) {
     state::KeyUpdate job{"jobs/req-1", std::nullopt, 40};
@@ -57,8 +57,8 @@
     message.fencing_token = fencing_token;
     message.tasks = std::move(tasks);
     return handle_heartbeat(
-        {names, cache, fleet, job_failures, 50, now, 10, starts_allowed, is_direct_answer}, *machine,
-        message);
+        {names, cache, fleet, job_failures, {50, available_token}, now, 10, starts_allowed, is_direct_answer},
+        *machine, message);
   }
   jobs::Names names;
   state::StateCache cache;
@@ -66,6 +66,7 @@
   std::unordered_map<core::JobId, JobFailures> job_failures;
   core::TimePoint now{core::to_duration(1000)};
   Machine* machine = nullptr;
+  std::uint64_t available_token = 50;
 };
 
 // Whatever the cause of its end, `done` included, a replica is not completed and runs again.
@@ -270,34 +271,122 @@
             Kinds{Command::Kind::forget});
 }
 
+const TaskAttempt kAttempt{core::JobId{0}, 0, 7};
+
 struct DirectStartCase {
   const char* name;
-  DirectStart direct_start;
-  std::size_t observed_exits;
+  std::uint64_t start_token, heartbeat_token;
+  bool may_start;  // the agent may execute the start, or a copy of it, after the heartbeat
 };
 class PendingDirectStart : public testing::TestWithParam<DirectStartCase> {};
-// A task of a cancelled job that is absent from heartbeat 10 has ended, unless a direct command may still
-// start it.
+// A task of a cancelled job that is absent from the heartbeat has ended, unless a direct command may still
+// start it; whether that command was answered makes no difference.
 TEST_P(PendingDirectStart, KeepsTheTaskAssigned) {
+  for (const bool answered : {false, true}) {
+    Fixture fixture;
+    fixture.available_token = 60;
+    fixture.cancel();
+    fixture.machine->direct_starts.record(kAttempt, GetParam().start_token, 2, fixture.now);
+    if (answered) fixture.machine->direct_starts.mark_answered(kAttempt);
+    fixture.heartbeat(2, 10, GetParam().heartbeat_token, {});
+    EXPECT_EQ(fixture.fleet.observed_exits.size(), GetParam().may_start ? 0u : 1u) << answered;
+    // The answer raises the token, and the next heartbeat proves the absence.
+    fixture.heartbeat(2, 11, 60, {});
+    EXPECT_EQ(fixture.fleet.observed_exits.size(), 1u) << answered;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Table, PendingDirectStart,
+                         testing::Values(DirectStartCase{"under_the_token_of_the_agent", 50, 50, true},
+                                         DirectStartCase{"under_a_raised_token", 55, 55, true},
+                                         DirectStartCase{"under_a_token_not_seen_by_the_agent", 55, 50, true},
+                                         DirectStartCase{"under_a_lower_token", 50, 55, false},
+                                         DirectStartCase{"under_an_earlier_leaders_token", 49, 50, false}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+struct ForgetCase {
+  const char* name;
+  std::uint64_t start_token;  // 0: no direct start was sent
+  std::uint64_t available_token;
+  bool forgotten;
+  std::uint64_t command_token;  // of the answer
+};
+class ForgottenAttempt : public testing::TestWithParam<ForgetCase> {};
+// Guards against a copy of an answered start that starts a forgotten attempt once more.
+TEST_P(ForgottenAttempt, HasNoStartThatTheAgentWouldExecuteAgain) {
   Fixture fixture;
-  fixture.cancel();
-  fixture.fleet.direct_starts[{core::JobId{0}, 0, 7}] = GetParam().direct_start;
-  fixture.heartbeat(2, 10, 50, {});
-  EXPECT_EQ(fixture.fleet.observed_exits.size(), GetParam().observed_exits);
-  // If the agent forgot the attempt, the late command would start it again although its end is recorded.
   fixture.set_assignments({}, 70);
-  const auto result = fixture.heartbeat(2, 20, 50, {task_status(7, TaskState::ended, ExitCause::stopped)});
-  EXPECT_EQ(result.commands.empty(),
-            !GetParam().direct_start.answered_sequence && GetParam().direct_start.fencing_token == 50);
+  if (GetParam().start_token != 0) {
+    fixture.machine->direct_starts.record(kAttempt, GetParam().start_token, 2, fixture.now);
+    fixture.machine->direct_starts.mark_answered(kAttempt);
+  }
+  fixture.available_token = GetParam().available_token;
+  const auto ended = task_status(7, TaskState::ended, ExitCause::done);
+  const auto result = fixture.heartbeat(2, 10, 50, {ended});
+  EXPECT_EQ(kinds(result), GetParam().forgotten ? Kinds{Command::Kind::forget} : Kinds{});
+  EXPECT_EQ(fixture.machine->command_token({50, fixture.available_token}), GetParam().command_token);
 }
-INSTANTIATE_TEST_SUITE_P(Table, PendingDirectStart,
-                         testing::Values(DirectStartCase{"unanswered", {50, std::nullopt, {}}, 0},
-                                         DirectStartCase{
-                                             "unanswered_under_an_older_token", {49, std::nullopt, {}}, 1},
-                                         DirectStartCase{"answered_after_this_heartbeat", {50, 12, {}}, 0},
-                                         DirectStartCase{"answered_before_this_heartbeat", {50, 9, {}}, 1}),
+INSTANTIATE_TEST_SUITE_P(Table, ForgottenAttempt,
+                         testing::Values(ForgetCase{"started_under_the_agents_token", 50, 60, true, 60},
+                                         ForgetCase{"no_higher_token_available", 50, 50, false, 50},
+                                         ForgetCase{"started_by_the_answer_to_a_heartbeat", 0, 60, true, 50},
+                                         ForgetCase{"started_under_an_earlier_token", 49, 60, true, 50}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(HeartbeatHandler, RaisesTheTokenWithTheFirstHeartbeatThatShowsTheEnd) {
+  Fixture fixture;
+  fixture.available_token = 60;
+  fixture.machine->direct_starts.record(kAttempt, 50, 2, fixture.now);
+  fixture.heartbeat(2, 10, 50, {task_status(7, TaskState::running)});
+  EXPECT_EQ(fixture.machine->command_token({50, 60}), 50u);
+  fixture.heartbeat(2, 11, 50, {task_status(7, TaskState::ended, ExitCause::done)});
+  EXPECT_EQ(fixture.machine->command_token({50, 60}), 60u);
+  fixture.available_token = 65;
+  fixture.heartbeat(2, 12, 60, {task_status(7, TaskState::ended, ExitCause::done)});
+  EXPECT_EQ(fixture.machine->command_token({50, 65}), 60u) << "the start is void already";
+}
+
+// A direct command with the raised token would overtake the answer to the agent's heartbeat.
+TEST(HeartbeatHandler, AnswerToDirectCommandDoesNotRaiseTheToken) {
+  Fixture fixture;
+  fixture.available_token = 60;
+  fixture.machine->direct_starts.record(kAttempt, 50, 2, fixture.now);
+  fixture.heartbeat(2, 10, 50, {task_status(7, TaskState::ended, ExitCause::done)}, true);
+  EXPECT_EQ(fixture.fleet.observed_exits.size(), 1u);
+  EXPECT_EQ(fixture.machine->command_token({50, 60}), 50u);
+}
+
+struct ReplacedAttemptCase {
+  const char* name;
+  std::uint64_t available_token;
+  bool started;
+};
+class ReplacedAttempt : public testing::TestWithParam<ReplacedAttemptCase> {};
+// The agent may forget the ended attempt when it starts the task's next one.
+TEST_P(ReplacedAttempt, HasNoStartThatTheAgentWouldExecuteAgain) {
+  Fixture fixture;
+  fixture.set_assignments({{0, 9, fixture.machine->id, 2}}, 55);
+  fixture.machine->direct_starts.record(kAttempt, 50, 2, fixture.now);
+  fixture.available_token = GetParam().available_token;
+  const auto result = fixture.heartbeat(2, 10, 50, {task_status(7, TaskState::ended, ExitCause::stopped)});
+  const auto started = kinds(result);
+  EXPECT_EQ(std::count(started.begin(), started.end(), Command::Kind::start), GetParam().started ? 1 : 0);
+  EXPECT_EQ(fixture.machine->command_token({50, fixture.available_token}), GetParam().available_token);
+}
+INSTANTIATE_TEST_SUITE_P(Table, ReplacedAttempt,
+                         testing::Values(ReplacedAttemptCase{"higher_token_available", 60, true},
+                                         ReplacedAttemptCase{"no_higher_token_available", 50, false}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// A machine that was dropped from the fleet and is back obeys a token that this leader gave it before.
+TEST(HeartbeatHandler, TakesUpATokenThatItGaveBefore) {
+  Fixture fixture;
+  fixture.available_token = 60;
+  EXPECT_EQ(fixture.heartbeat(2, 10, 58, {task_status(7, TaskState::running)}).kind,
+            HeartbeatResult::Kind::answer);
+  EXPECT_EQ(fixture.machine->command_token({50, 60}), 58u);
+  EXPECT_EQ(fixture.heartbeat(2, 11, 61, {}).kind, HeartbeatResult::Kind::superseded);
+}
+
 TEST(HeartbeatHandler, StopsBrokenGangAndDoesNotStartIt) {
   Fixture fixture(true, 2);  // one of its two tasks is assigned
   EXPECT_EQ(kinds(fixture.heartbeat(2, 10, 50, {task_status(7, TaskState::waiting)})),
--- a/tests/app/random_days_test.cpp
+++ b/tests/app/random_days_test.cpp
@@ -1,7 +1,8 @@
 // Random days with the disruptions of the incidents: chosen transactions that come late, outages of the store
 // with slow first reads, crashes, machines that no list shows, machines that are taken without notice while
-// the cloud refuses deletions, and lists that lag and go back. No rule may be broken, and once the
-// disruptions are over no job may wait beside free machines.
+// the cloud refuses deletions, lists that lag and go back, late copies of requests that were executed and
+// answered before, and machines that are back at once without their tasks. No rule may be broken, and once
+// the disruptions are over no job may wait beside free machines.
 //
 // FINCHRUN_RANDOM_DAYS="FIRST LAST" runs the seeds from FIRST to before LAST instead of the few of CI.
 #include <cstdlib>
@@ -40,6 +41,10 @@
     for (int i = 0; i < 4; ++i) at_random_time([this] { lend_a_spot_machine(); });
     at_random_time([this] { refuse_deletions(); });
     for (int i = 0; i < 2; ++i) at_random_time([this] { change_the_age_of_lists(); });
+    cluster.faults.repeated_request_probability = 0.05;
+    for (int i = 0; i < 60; ++i) at_random_time([this] { cluster.repeat_commands(); });
+    for (int i = 0; i < 6; ++i) at_random_time([this] { preempt_and_cancel(); });
+    for (int i = 0; i < 6; ++i) at_random_time([this] { restart_a_busy_machine(); });
   }
   void run() { cluster.run(kDisruptionsOverS + kCalmS); }
 
@@ -140,6 +145,23 @@
     if (random_index(2) == 0)
       cluster.after(random_s(5, 60), [this] { cluster.cloud.refuse_release = nullptr; });
   }
+  // A task is preempted and runs elsewhere, and one job ends by its cancellation; copies of their start
+  // commands come while the next tasks run.
+  void preempt_and_cancel() {
+    cluster.submit(1, false, 4, 6, random_index(2) == 0 ? "red" : "blue", "prod");
+    std::vector<std::string> unfinished;
+    for (const auto& [id, job] : cluster.jobs)
+      if (job.accepted && !job.cancellation_requested && job.completed.size() < job.tasks)
+        unfinished.push_back(id);
+    if (!unfinished.empty()) cluster.cancel(unfinished[random_index(unfinished.size())]);
+    for (int i = 0; i < 12; ++i) cluster.after(random_s(0.5, 14), [this] { cluster.repeat_commands(); });
+  }
+  void restart_a_busy_machine() {
+    std::vector<Agent*> busy;
+    for (auto& [_, agent] : cluster.agents)
+      if (!agent.tasks.empty() && !agent.suspended) busy.push_back(&agent);
+    if (!busy.empty()) cluster.restart(*busy[random_index(busy.size())], random_index(2) == 0);
+  }
   void change_the_age_of_lists() {
     using ListAge = CloudService::ListAge;
     cluster.cloud.list_age = random_index(2) == 0 ? ListAge::longest : ListAge::varying;
--- a/tests/controller/controller_state_test.cpp
+++ b/tests/controller/controller_state_test.cpp
@@ -44,6 +44,69 @@
                     MemberCase{"one_without_a_level", {R"({"inc":1,"level":1})", R"({"inc":2})"}, false}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct TokenCase {
+  const char* name;
+  std::function<void(SinglePartition&)> change;
+  std::uint64_t of_partition, highest_available;
+};
+class FencingTokens : public testing::TestWithParam<TokenCase> {};
+// Guards against two leaders that use one token: a leader's tokens end where it has read its own leadership
+// record unchanged. The record has revision 40, and the cache has read up to 60.
+TEST_P(FencingTokens, EndAtTheRevisionUpToWhichTheLeadershipRecordWasRead) {
+  SinglePartition leader;
+  leader.state.cache.synchronized(60);
+  GetParam().change(leader);
+  const auto tokens = leader.state.fencing_tokens(leader.partition);
+  EXPECT_EQ(tokens.of_partition, GetParam().of_partition);
+  EXPECT_EQ(tokens.highest_available, GetParam().highest_available);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, FencingTokens,
+    testing::Values(TokenCase{"leader", [](SinglePartition&) {}, 40, 60},
+                    TokenCase{"own_write_is_newer_than_the_last_read",
+                              [](SinglePartition& leader) {
+                                leader.state.cache.apply({"fence/a.0", boost::json::parse("{}"), 70});
+                              },
+                              40, 60},
+                    TokenCase{"records_are_being_read_anew",
+                              [](SinglePartition& leader) { leader.state.cache_loaded = false; }, 40, 40},
+                    TokenCase{"pages_of_the_new_read_are_older_than_the_record",
+                              [](SinglePartition& leader) {
+                                leader.state.cache.reset();
+                                leader.state.cache.apply(
+                                    {"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 66});
+                                leader.state.cache.synchronized(63);
+                              },
+                              66, 66},
+                    TokenCase{"transferred_by_an_own_write",
+                              [](SinglePartition& leader) {
+                                leader.state.cache.apply(
+                                    {"parts/a.0", boost::json::parse(R"({"owner":"perch-1","inc":9})"), 70});
+                              },
+                              70, 70},
+                    TokenCase{"acquired_anew_but_not_read_up_to_that",
+                              [](SinglePartition& leader) {
+                                leader.state.cache.apply(
+                                    {"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 70});
+                              },
+                              70, 70},
+                    TokenCase{"led_by_an_earlier_process_of_this_label",
+                              [](SinglePartition& leader) { leader.state.incarnation = 8; }, 40, 40}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(ControllerState, CommandTokenIsNeverBelowThePartitionsOwn) {
+  SinglePartition leader;
+  auto& machine = leader.state.fleet.find_or_add(leader.state.names, "host-1", {});
+  machine.partition = leader.partition;
+  EXPECT_EQ(leader.state.command_token(machine), 40u);
+  leader.state.cache.synchronized(60);
+  EXPECT_EQ(leader.state.command_token(machine), 40u) << "raised only where a start has to be void";
+  EXPECT_TRUE(machine.raise_command_token(40, leader.state.fencing_tokens(leader.partition)));
+  EXPECT_EQ(leader.state.command_token(machine), 60u);
+  leader.state.cache.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 70});
+  EXPECT_EQ(leader.state.command_token(machine), 70u);
+}
+
 TEST(ControllerState, SilenceIsCountedFromTheStartOfTheTerm) {
   ControllerState state(settings(), {});
   auto& machine = state.fleet.find_or_add(state.names, "host-1", {});
--- a/tests/gateway/agent_decisions_test.cpp
+++ b/tests/gateway/agent_decisions_test.cpp
@@ -137,6 +137,8 @@
             "no_heartbeat_while_running",
             [](Leader& leader) { leader.machine->has_heartbeat = false, leader.machine->status = "running"; },
             true},
+        Case{"knows_a_raised_token", [](Leader& leader) { leader.machine->fencing_token = kToken + 5; },
+             false},
         Case{"terminating",
              [](Leader& leader) { leader.machine->fencing_token = 1, leader.machine->terminating = true; },
              false},
@@ -200,11 +202,10 @@
     std::string body;
     Delivery delivery;
     bool heartbeat;
-  } cases[] = {
-      {0, "", Delivery::no_answer, false},           {200, heartbeat, Delivery::executed, true},
-      {200, "{}", Delivery::unexpected, false},      {409, heartbeat, Delivery::other_incarnation, true},
-      {409, "", Delivery::other_incarnation, false}, {400, heartbeat, Delivery::malformed, false},
-      {503, heartbeat, Delivery::unexpected, false}};
+  } cases[] = {{0, "", Delivery::no_answer, false},          {200, heartbeat, Delivery::executed, true},
+               {200, "{}", Delivery::unexpected, false},     {409, heartbeat, Delivery::conflict, true},
+               {409, "", Delivery::conflict, false},         {400, heartbeat, Delivery::malformed, false},
+               {503, heartbeat, Delivery::unexpected, false}};
   for (const auto& c : cases) {
     const auto answer = interpret_answer({c.status, c.body});
     EXPECT_EQ(answer.delivery, c.delivery) << c.status << " " << c.body;
@@ -213,6 +214,60 @@
   }
 }
 
+struct OvertakenCase {
+  const char* name;
+  std::uint64_t sent_token, agent_token;
+  bool overtaken;
+};
+class OvertakenCommands : public testing::TestWithParam<OvertakenCase> {};
+// Guards against a start that waits for the next heartbeat because the answer to the last one raised the
+// token. This controller has given the agent tokens up to `kToken` + 5.
+TEST_P(OvertakenCommands, AreSentAgainUnderTheRaisedToken) {
+  Leader leader;
+  leader.machine->raised_token = kToken + 5;
+  CommandAnswer answer;
+  answer.delivery = Delivery::conflict;
+  answer.heartbeat = leader.heartbeat();
+  answer.heartbeat->fencing_token = GetParam().agent_token;
+  EXPECT_EQ(is_overtaken(leader.state, *leader.machine, GetParam().sent_token, answer), GetParam().overtaken);
+  answer.heartbeat.reset();
+  EXPECT_FALSE(is_overtaken(leader.state, *leader.machine, GetParam().sent_token, answer));
+}
+INSTANTIATE_TEST_SUITE_P(Table, OvertakenCommands,
+                         testing::Values(OvertakenCase{"raised_by_this_leader", kToken, kToken + 5, true},
+                                         OvertakenCase{"another_incarnation", kToken, kToken, false},
+                                         OvertakenCase{"raised_by_another_leader", kToken, kToken + 6,
+                                                       false}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+struct EarlierAttemptCase {
+  const char* name;
+  std::uint64_t earlier_token;
+  std::uint64_t read_revision;  // up to which the state cache has read
+  bool sent;
+  std::uint64_t command_token;
+};
+class EarlierAttempts : public testing::TestWithParam<EarlierAttemptCase> {};
+// The agent may forget an ended attempt of the task when it starts attempt 7.
+TEST_P(EarlierAttempts, AreVoidBeforeTheNextAttemptIsSent) {
+  Leader leader;
+  leader.state.cache.synchronized(GetParam().read_revision);
+  leader.machine->direct_starts.record({leader.job_id, 0, 3}, GetParam().earlier_token, 1, kNow);
+  std::vector<Command> commands{{Command::Kind::start, "req-1", 0, 7, 0},
+                                {Command::Kind::stop, "req-2", 0, 3, 0}};
+  std::vector<agent::TaskAttempt> starts{{leader.job_id, 0, 7}};
+  supersede_earlier_attempts(leader.state, *leader.machine, commands, starts);
+  EXPECT_EQ(starts.size(), GetParam().sent ? 1u : 0u);
+  EXPECT_EQ(commands.size(), GetParam().sent ? 2u : 1u);
+  EXPECT_EQ(leader.state.command_token(*leader.machine), GetParam().command_token);
+}
+INSTANTIATE_TEST_SUITE_P(Table, EarlierAttempts,
+                         testing::Values(EarlierAttemptCase{"higher_token_available", kToken, 60, true, 60},
+                                         EarlierAttemptCase{"no_higher_token_available", kToken, 40, false,
+                                                            kToken},
+                                         EarlierAttemptCase{"void_already", kToken - 1, 60, true, kToken}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 TEST(CommandAnswers, NoAnswerMarksOnlyTheAddressedIncarnationUnreachable) {
   Leader leader;
   CommandAnswer no_answer;
@@ -359,6 +414,7 @@
       {"returned after a redirect", 16, kToken - 1, false, Forwarding::relay_after_redirect},
       {"redirected long ago", 18, kToken - 1, false, Forwarding::redirect},
       {"obeys the leader", 100, kToken, false, Forwarding::relay_without_redirect},
+      {"obeys a raised token of the leader", 100, kToken + 5, false, Forwarding::relay_without_redirect},
       {"obeys the leader, last heartbeat relayed", 100, kToken, true, Forwarding::redirect},
       {"obeys the leader, returned after a redirect", 1, kToken, false, Forwarding::relay_after_redirect},
   };
--- a/tests/sim/agents.cpp
+++ b/tests/sim/agents.cpp
@@ -47,11 +47,12 @@
     run_task(agent, task);
     return false;
   }
-  if (task.next_transition > now_) return false;
+  if (end_without_gang_peers(agent, task) || task.next_transition > now_) return false;
   if (task.state == "running") {
     task.state = "ended";
-    task.cause = "done";
+    task.cause = agent.faulty ? "error" : "done";
     agent.changed = true;
+    if (agent.faulty) return false;
     auto& job = jobs.at(task.job);
     job.completed.insert(task.number);
     if (job.gang)
@@ -67,17 +68,37 @@
   return false;
 }
 
+// Returns true if all tasks of the gang's attempt are on machines that do not hang. Completed peers count.
+bool Cluster::is_gang_present(const Task& task) const {
+  std::size_t present_tasks = 0;
+  for_each_task([&](const Agent& agent, const Task& other) {
+    if (agent.dead || agent.suspended) return;
+    const bool present = other.state == "waiting" || other.state == "running" || other.cause == "done";
+    present_tasks += other.job == task.job && other.attempt == task.attempt && present ? 1 : 0;
+  });
+  return present_tasks == jobs.at(task.job).tasks;
+}
+
+// Ends a running gang's task if a peer has been missing for too long. Returns true if it has ended.
+bool Cluster::end_without_gang_peers(Agent& agent, Task& task) {
+  const auto& job = jobs.at(task.job);
+  if (!job.gang || task.state != "running" || job.completed.contains(task.number)) return false;
+  if (is_gang_present(task)) {
+    task.peers_missing_since.reset();
+    return false;
+  }
+  if (!task.peers_missing_since) task.peers_missing_since = now_;
+  if (core::seconds_between(*task.peers_missing_since, now_) < settings_.gang_peer_s) return false;
+  task.state = "ended";
+  task.cause = "mates_gone";
+  agent.changed = true;
+  return true;
+}
+
 // Runs a waiting task. A gang's task runs only when all tasks of its attempt are on their machines.
 void Cluster::run_task(Agent& agent, Task& task) {
   auto& job = jobs.at(task.job);
-  if (job.gang) {
-    std::size_t present_tasks = 0;
-    for_each_task([&](const Agent&, const Task& other) {
-      const bool started = other.state == "waiting" || other.state == "running";
-      present_tasks += other.job == task.job && other.attempt == task.attempt && started ? 1 : 0;
-    });
-    if (present_tasks != job.tasks) return;
-  }
+  if (job.gang && !is_gang_present(task)) return;
   task.state = "running";
   if (job.is_service) job.run_s = kServiceRunS;
   task.next_transition = now_ + core::to_duration(job.completed.contains(task.number)
@@ -154,6 +175,23 @@
   agent.controller = (agent.controller + 1) % processes_.size();
 }
 
+void Cluster::repeat_commands() {
+  for (auto& [_, agent] : agents) {
+    if (agent.dead || agent.suspended || agent.inbound_blocked) continue;
+    const auto starts_before = agent.starts_executed;
+    repeated_commands += agent.repeat_commands(jobs, now_);
+    starts_by_repeated_commands += agent.starts_executed - starts_before;
+  }
+}
+
+void Cluster::restart(Agent& agent, bool new_incarnation) {
+  agent.tasks.clear();
+  agent.changed = true;
+  if (!new_incarnation) return;
+  ++agent.agent_incarnation;
+  agent.last_answered = now_;
+}
+
 void Cluster::suspend(Agent& agent, double duration_s) {
   agent.suspended = true;
   after(duration_s, [this, name = agent.name] {
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -22,6 +22,9 @@
   double max_duplicate_delay_s = 40;
   // A transaction gets no response and is executed 2 to 12 s later, after newer ones.
   double late_write_probability = 0;
+  // A request to the key-value store or the cloud that was executed and answered is executed once more, up to
+  // `max_duplicate_delay_s` later.
+  double repeated_request_probability = 0;
   double store_delay_s = 0;  // additional delay of the key-value store
   // Additional delay of the reads of the store's changes that are sent right after `recover_store`.
   double slow_read_delay_s = 0;
@@ -77,6 +80,11 @@
   [[nodiscard]] const TrafficDigest& traffic() const { return traffic_; }
   // Suspends an agent; commands that arrive meanwhile are executed when it resumes.
   void suspend(Agent& agent, double duration_s);
+  // Delivers to every agent that can be reached each direct command that it has executed once more.
+  void repeat_commands();
+  // A machine is back at once without its tasks, in the same or the next incarnation of its agent. The agent
+  // keeps its fencing token.
+  void restart(Agent& agent, bool new_incarnation);
 
   // A description of each violation of a rule.
   std::vector<std::string> violations;
@@ -92,8 +100,10 @@
   // The end of the faults, from which the checks for starvation and forgotten jobs count their time.
   TimePoint faults_over_at;
   std::size_t task_starts = 0;
-  std::size_t tasks_killed_by_lease = 0;      // tasks of jobs whose cancellation was not requested
-  std::size_t starts_after_cancellation = 0;  // task starts after the user was told of the cancellation
+  std::size_t repeated_commands = 0;
+  std::size_t starts_by_repeated_commands = 0;  // of attempts that their agents did not know
+  std::size_t tasks_killed_by_lease = 0;        // tasks of jobs whose cancellation was not requested
+  std::size_t starts_after_cancellation = 0;    // task starts after the user was told of the cancellation
   // Replica time of services from 5 s after their acceptance until their cancellation is requested.
   double expected_replica_s = 0, served_replica_s = 0;
   std::mt19937 random;
@@ -116,6 +126,8 @@
   void step_agent(Agent& agent);
   void expire_lease(Agent& agent);
   bool step_task(Agent& agent, Task& task);
+  [[nodiscard]] bool is_gang_present(const Task& task) const;
+  bool end_without_gang_peers(Agent& agent, Task& task);
   void run_task(Agent& agent, Task& task);
   void start_task(Agent& agent, Task& task);
   void send_heartbeat(Agent& agent);
@@ -126,6 +138,8 @@
   void send_submission(const std::string& id, int tries);
   void poll_status(const std::string& id);
   // The network, in network.cpp.
+  void repeat_later(std::size_t controller, const config::Endpoint& to, http::Verb verb,
+                    const std::string& target, const std::string& body);
   bool delay_write(std::size_t controller, const config::Endpoint& to, const std::string& body);
   [[nodiscard]] double store_delay_s(const std::string& target) const;
   void send_request(std::size_t controller, http::Request request,
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -35,6 +35,7 @@
                    if (cluster.chance(cluster.faults.response_loss_probability) ||
                        answer.status == http::status::kNoAnswer)
                      return;
+                   cluster.repeat_later(controller, to, verb, target, body);
                    cluster.post(cluster.delay(), [pending, answer] {
                      pending->answer = answer;
                      pending->timer.cancel();
@@ -46,6 +47,15 @@
   co_return pending->answer;
 }
 
+// Copies of direct commands are made by `repeat_commands` instead.
+void Cluster::repeat_later(std::size_t controller, const config::Endpoint& to, http::Verb verb,
+                           const std::string& target, const std::string& body) {
+  const bool to_service = to.host == kStoreHost || to.host == kCloudHost;
+  if (!to_service || verb == http::Verb::get || !chance(faults.repeated_request_probability)) return;
+  const double delay_s = std::uniform_real_distribution<double>(0.3, faults.max_duplicate_delay_s)(random);
+  post(delay_s, [=, this] { deliver(controller, to, verb, target, body); });
+}
+
 // Returns true if the transaction gets no response and is executed late.
 bool Cluster::delay_write(std::size_t controller, const config::Endpoint& to, const std::string& body) {
   if (refused_by_store.contains(controller)) return false;
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -190,8 +190,14 @@
     if (verb == "run") {
       if (it != tasks.end() && it->second.attempt == attempt) continue;
       if (it != tasks.end() && it->second.state != "ended") continue;  // the protocol's reason `in_use`
-      Task task{key.first, key.second, attempt, "pulling", "", false, {}, 0};
+      Task task{key.first, key.second, attempt, "pulling", "", false, {}, 0, {}};
       task.next_transition = now + core::to_duration(jobs.at(key.first).image_pull_s);
+      if (refused_starts > 0) {
+        --refused_starts;
+        task.state = "ended";
+        task.cause = "full";
+      }
+      ++starts_executed;
       tasks[key] = task;
       changed = true;
     } else if (it == tasks.end() || it->second.attempt != attempt) {
@@ -214,19 +220,34 @@
   }
 }
 
-ClientResponse Agent::handle_commands(const std::string& body, std::map<std::string, JobHistory>& jobs,
-                                      TimePoint now) {
-  const auto request = json::parse(body).as_object();
+bool Agent::execute_direct(const json::object& request, std::map<std::string, JobHistory>& jobs,
+                           TimePoint now) {
   const auto offered_fencing_token = to_integer(request.at("baton"));
-  if (offered_fencing_token < fencing_token) return json_response(http::status::kConflict, heartbeat());
+  if (offered_fencing_token < fencing_token) return false;
   if (offered_fencing_token > fencing_token) changed = true;
   fencing_token = offered_fencing_token;
-  if (to_integer(request.at("stint")) != agent_incarnation)
-    return json_response(http::status::kConflict, heartbeat());
+  if (to_integer(request.at("stint")) != agent_incarnation) return false;
   execute(request.at("orders").as_array(), jobs, now);
+  return true;
+}
+
+ClientResponse Agent::handle_commands(const std::string& body, std::map<std::string, JobHistory>& jobs,
+                                      TimePoint now) {
+  if (!execute_direct(json::parse(body).as_object(), jobs, now))
+    return json_response(http::status::kConflict, heartbeat());
+  executed_commands.push_back(body);
   return json_response(http::status::kOk, heartbeat());
 }
 
+std::size_t Agent::repeat_commands(std::map<std::string, JobHistory>& jobs, TimePoint now) {
+  const auto repeated = executed_commands.size();
+  std::erase_if(executed_commands, [&](const std::string& body) {
+    ++sequence;  // of the response, for which nobody waits
+    return !execute_direct(json::parse(body).as_object(), jobs, now);
+  });
+  return repeated;
+}
+
 void Agent::expire_lease(double lease_s, TimePoint now) {
   if (core::seconds_between(last_answered, now) <= lease_s) return;
   tasks.clear();
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -75,6 +75,7 @@
   bool checkpoint_saved = false;
   TimePoint next_transition;  // when the next transition is due
   double progress_at_start = 0;
+  std::optional<TimePoint> peers_missing_since;  // of a running gang's task
   [[nodiscard]] bool is_on_machine() const {
     return state == "waiting" || state == "running" || state == "flushing";
   }
@@ -106,6 +107,11 @@
   bool outbound_blocked = false;               // its heartbeats reach no controller, but commands reach it
   std::vector<std::string> deferred_commands;  // commands that arrived while it was suspended
   bool inbound_blocked = false;  // its heartbeats arrive, but responses and commands do not reach it
+  bool faulty = false;           // its tasks end with `error`
+  int refused_starts = 0;        // number of next starts that it refuses with `full`
+  // Direct commands that it has executed and answered. The network may deliver them again at any time.
+  std::vector<std::string> executed_commands;
+  std::size_t starts_executed = 0;  // start commands of attempts unknown to it
   std::uint64_t agent_incarnation = 1, sequence = 0, fencing_token = 0;
   TimePoint last_answered;  // send time of the last heartbeat that got a response
   std::map<std::pair<std::string, std::uint32_t>, Task> tasks;
@@ -119,7 +125,14 @@
   void execute(const json::array& commands, std::map<std::string, JobHistory>& jobs, TimePoint now);
   ClientResponse handle_commands(const std::string& body, std::map<std::string, JobHistory>& jobs,
                                  TimePoint now);
+  // Receives every executed direct command once more, and drops those that it refuses: it refuses them for
+  // good. Returns their number.
+  std::size_t repeat_commands(std::map<std::string, JobHistory>& jobs, TimePoint now);
   void expire_lease(double lease_s, TimePoint now);
+
+ private:
+  // Executes direct commands; returns false if their fencing token or incarnation does not match.
+  bool execute_direct(const json::object& request, std::map<std::string, JobHistory>& jobs, TimePoint now);
 };
 
 /// A cloud with one machine type and a list of machines that lags behind.
