Tests: the names of table cases come from one place

Need: the same lambda that names a table's cases stood 61 times in 36 files, three of them with a loop of their own. Change: `kCaseName` in tests/core/case_names.hpp; no name of a test changes.

--- a/tests/agent/direct_starts_test.cpp
+++ b/tests/agent/direct_starts_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::agent {
 namespace {
 
@@ -35,7 +37,7 @@
                                          VoidCase{"higher_token", 2, 51, false},
                                          VoidCase{"later_incarnation", 3, 50, false},
                                          VoidCase{"earlier_incarnation", 1, 50, true}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(DirectStarts, NameTheHighestTokenOfOtherAttemptsOfTheTask) {
   auto starts = sent_under(50, 2);
--- a/tests/agent/heartbeat_handler_test.cpp
+++ b/tests/agent/heartbeat_handler_test.cpp
@@ -4,6 +4,8 @@
 
 #include <functional>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::agent {
 namespace {
 
@@ -167,12 +169,7 @@
             {task_status(7, TaskState::running), task_status(3, TaskState::ended, ExitCause::done)},
             {Command::Kind::forget},
             {}}),
-    [](const auto& info) {
-      std::string name = info.param.name;
-      for (char& ch : name)
-        if (ch == ' ') ch = '_';
-      return name;
-    });
+    kCaseName);
 
 TEST(HeartbeatHandler, IgnoresOutdatedHeartbeatsAndHigherTokens) {
   Fixture fixture;
@@ -252,7 +249,7 @@
                                        fixture.heartbeat(3, 12, 50, {task_status(9, TaskState::fetching)});
                                      },
                                      false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(HeartbeatHandler, TaskAbsentAfterConfirmedStartHasEnded) {
   Fixture fixture;
@@ -301,7 +298,7 @@
                                          DirectStartCase{"under_a_token_not_seen_by_the_agent", 55, 50, true},
                                          DirectStartCase{"under_a_lower_token", 50, 55, false},
                                          DirectStartCase{"under_an_earlier_leaders_token", 49, 50, false}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 struct ForgetCase {
   const char* name;
@@ -330,7 +327,7 @@
                                          ForgetCase{"no_higher_token_available", 50, 50, false, 50},
                                          ForgetCase{"started_by_the_answer_to_a_heartbeat", 0, 60, true, 50},
                                          ForgetCase{"started_under_an_earlier_token", 49, 60, true, 50}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(HeartbeatHandler, RaisesTheTokenWithTheFirstHeartbeatThatShowsTheEnd) {
   Fixture fixture;
@@ -375,7 +372,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, ReplacedAttempt,
                          testing::Values(ReplacedAttemptCase{"higher_token_available", 60, true},
                                          ReplacedAttemptCase{"no_higher_token_available", 50, false}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // A machine that was dropped from the fleet and is back obeys a token that this leader gave it before.
 TEST(HeartbeatHandler, TakesUpATokenThatItGaveBefore) {
--- a/tests/app/cluster_test.cpp
+++ b/tests/app/cluster_test.cpp
@@ -1,5 +1,6 @@
 // Runs the whole service under a simulated clock with single faults; the rules are checked after every step.
 #include "app/fault_scenarios.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -190,7 +191,7 @@
                             if (it->second.accepted) cluster.cancel(it->first);
                           });
                       }}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // Guards against a gang that starves: arrays that may use spot instances hold all on-demand machines and none
 // of their tasks waits, so no spot instance was rented for them and the gang waited for one array after
--- a/tests/app/lost_machines_test.cpp
+++ b/tests/app/lost_machines_test.cpp
@@ -1,5 +1,6 @@
 // Machines that are taken without notice, while the cloud does not confirm deletions and its lists lag.
 #include "app/fault_scenarios.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -78,7 +79,7 @@
                     LostMachineCase{"refused_and_leader_crashes", kRefused, always, ListAge::usual, true},
                     LostMachineCase{"refused_and_leader_crashes_and_lists_go_back", kRefused, always,
                                     ListAge::varying, true}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // Guards against tasks that wait for good since their machine's deletion shares its requests with a machine
 // that the cloud refuses to delete. Lists go on to show both, so only a deletion proves one gone.
--- a/tests/app/overlapping_faults_test.cpp
+++ b/tests/app/overlapping_faults_test.cpp
@@ -1,6 +1,7 @@
 // Pairs of faults that overlap, each pair in one scenario. The rules are checked after every step, and after
 // the faults no job may starve and no user may stay without a response.
 #include "app/fault_scenarios.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -129,7 +130,7 @@
         OutageCase{"one_controller_restarts_in_the_outage",
                    [](Cluster& cluster) { cluster.crash(another_controller(cluster.busiest_leader()), 0.3); },
                    false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // Guards against expired agent leases when a leader gets no heartbeats but reaches everything else: its
 // agents waited for each timeout, and every other controller redirected them to the leader again.
@@ -216,7 +217,7 @@
                                          Rejection{"scatter_and_together", "together", "true", 422},
                                          Rejection{"a_field_is_missing", "plate", nullptr, 400},
                                          Rejection{"a_field_of_the_wrong_kind", "pieces", R"("2")", 400}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // A finished job keeps its state after repeated requests of any kind; an unknown job is not found.
 TEST(OverlappingFaults, RepeatedSubmissionsAndCancellationsOfFinishedJobsReturnTheirStatus) {
@@ -469,7 +470,7 @@
                             cluster.after(2.5, [&cluster] { cancel_running_jobs(cluster, 2); });
                           });
                       }}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // Random overlapping faults with cancellations. No rule may be violated.
 class RandomOverlappingFaults : public testing::TestWithParam<std::uint32_t> {};
--- a/tests/app/services_test.cpp
+++ b/tests/app/services_test.cpp
@@ -1,5 +1,6 @@
 // Tests of services, and of limits of the key-value store that are reduced while the controllers run.
 #include "app/fault_scenarios.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -62,7 +63,7 @@
                     SubmissionCase{"unknown_shape", "shape", "serving", 400},
                     SubmissionCase{"no_estimate", "expectS", nullptr, 400},
                     SubmissionCase{"existing_job", "nameId", "req-000000", 200}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // At most half of the replicas, rounded up, may be in one zone. When a zone with two of three replicas fails,
 // one of them moves to the other zone.
@@ -142,7 +143,7 @@
                                     });
                                   },
                                   0.12}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 struct LimitReduction {
   const char* name;
@@ -190,7 +191,7 @@
                                      for (std::size_t n = 0; n < 3; ++n)
                                        cluster.after(37, [&cluster, n] { cluster.crash(n, 2); });
                                    }}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 }  // namespace
 }  // namespace finchrun::sim
--- a/tests/assignments/assignment_writer_test.cpp
+++ b/tests/assignments/assignment_writer_test.cpp
@@ -4,6 +4,7 @@
 
 #include "assignments/exit_plan.hpp"
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 #include "scheduling/waiting_tasks.hpp"
 
 namespace finchrun::assignments {
@@ -65,7 +66,7 @@
                          testing::Values(SizeCase{"one_task", 1, false}, SizeCase{"gang_of_16", 16, true},
                                          SizeCase{"array_of_250", 250, false},
                                          SizeCase{"gang_of_500", 500, true}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(AssignmentWriter, DropsFinishedJobsFromWrittenShards) {
   SinglePartition leader;
@@ -199,7 +200,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, TombstoneKeyOrder,
                          testing::Values(KeyOrderCase{"shards_before_tombstones", true},
                                          KeyOrderCase{"tombstones_before_shards", false}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // A late write of the tombstone list must not undo a later one.
 TEST(AssignmentWriter, ComparesRevisionOfTombstoneList) {
--- a/tests/assignments/limits_test.cpp
+++ b/tests/assignments/limits_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/upgrade.hpp"
+#include "core/case_names.hpp"
 #include "scheduling/waiting_tasks.hpp"
 
 namespace finchrun::assignments {
@@ -171,7 +172,7 @@
                                          LimitCase{"two_kb_five_writes_few_exited", 2, 5, 20},
                                          LimitCase{"four_kb_sixteen_writes_few_exited", 4, 16, 20},
                                          LimitCase{"one_kb_sixteen_writes_few_exited", 1, 16, 20}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // The shard has more contents than one transaction of 1 KiB values can hold. Its split waits until enough
 // tasks have exited, and no write exceeds the limits meanwhile.
--- a/tests/assignments/open_shards_test.cpp
+++ b/tests/assignments/open_shards_test.cpp
@@ -5,6 +5,7 @@
 #include "assignments/exit_plan.hpp"
 #include "assignments/shard_shrinker.hpp"
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::assignments {
 namespace {
@@ -124,7 +125,7 @@
                          testing::Values(ShrinkCase{"fits", 8, 5, 0}, ShrinkCase{"split_in_two", 2, 5, 2},
                                          ShrinkCase{"split_in_three_with_all_writes", 1, 3, 3},
                                          ShrinkCase{"too_large_for_one_transaction", 1, 2, 0}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 }  // namespace
 }  // namespace finchrun::assignments
--- a/tests/assignments/planned_tombstones_test.cpp
+++ b/tests/assignments/planned_tombstones_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::assignments {
 namespace {
@@ -30,7 +31,7 @@
                     TombstoneCase{"lost_gang", jobs::Shape::gang, false, {0, 0}},
                     TombstoneCase{"replica_of_a_service_is_never_done", jobs::Shape::service, true, {0, 0}},
                     TombstoneCase{"unknown_job", std::nullopt, true, {3, 4}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(PlannedTombstones, CountsAddedAndDroppedTombstones) {
   SinglePartition leader;
--- a/tests/assignments/recorder_plans_test.cpp
+++ b/tests/assignments/recorder_plans_test.cpp
@@ -6,6 +6,7 @@
 #include "assignments/placement_plan.hpp"
 #include "assignments/single_partition.hpp"
 #include "assignments/write_fences.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::assignments {
 namespace {
@@ -47,7 +48,7 @@
                     ExitCase{"both_tasks", jobs::Shape::array, 2, {"ends/a.0", "jobs/req-1"}},
                     ExitCase{"gang_completes_with_one", jobs::Shape::gang, 1, {"ends/a.0", "jobs/req-1"}},
                     ExitCase{"service_never_completes", jobs::Shape::service, 2, {"ends/a.0"}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 class PlanPlacements : public testing::Test {
  protected:
@@ -137,7 +138,7 @@
                          testing::Values(FenceCase{"due", true, true, true},
                                          FenceCase{"not_due", false, true, false},
                                          FenceCase{"another_leader", true, false, false}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(WriteFences, ComparesOfUnansweredCommitNameTheDueFences) {
   SinglePartition leader;
@@ -171,7 +172,7 @@
                     RefusalCase{state::CommitStatus::too_large, "too_large", spdlog::level::warn},
                     RefusalCase{state::CommitStatus::malformed, "malformed", spdlog::level::err},
                     RefusalCase{state::CommitStatus::unknown, "unknown", spdlog::level::warn}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 }  // namespace
 }  // namespace finchrun::assignments
--- a/tests/assignments/write_fences_test.cpp
+++ b/tests/assignments/write_fences_test.cpp
@@ -7,6 +7,7 @@
 
 #include "assignments/exit_recorder.hpp"
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 #include "sim/scripted_network.hpp"
 
 namespace finchrun::assignments {
@@ -80,7 +81,7 @@
                                          AnswerCase{"refused", 503, "", false},
                                          AnswerCase{"no_answer", 0, "", true},
                                          AnswerCase{"internal_error", 500, "", true}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // Guards against a late placement that starts its task twice: the fence was no longer due after a moment in
 // which the process did not lead, although its fencing token was the same afterwards.
@@ -127,7 +128,7 @@
                                        state.cache.synchronized(kFencingToken + 1);
                                      },
                                      false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(WriteFences, DecideAgainOnceTheMovedFenceHasBeenRead) {
   Leader leader;
@@ -158,7 +159,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, FailedFenceMove,
                          testing::Values(FailedMove{"refused", 503}, FailedMove{"conflict", 409},
                                          FailedMove{"no_answer", 0}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // Guards against a late split of a shard: after an exit transaction without a response, tombstones were
 // recorded that the late transaction did not compare.
--- a/tests/autoscaling/machine_inventory_test.cpp
+++ b/tests/autoscaling/machine_inventory_test.cpp
@@ -4,6 +4,7 @@
 
 #include "assignments/single_partition.hpp"
 #include "core/captured_log.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::autoscaling {
 namespace {
@@ -97,7 +98,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, LogSilentRecordedMachines,
                          testing::Values(SilenceCase{"within_the_grace_periods", 179, 0},
                                          SilenceCase{"after_them", 181, 1}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 }  // namespace
 }  // namespace finchrun::autoscaling
--- a/tests/autoscaling/machine_release_test.cpp
+++ b/tests/autoscaling/machine_release_test.cpp
@@ -4,6 +4,7 @@
 #include "assignments/single_partition.hpp"
 #include "autoscaling/machine_inventory.hpp"
 #include "core/captured_log.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::autoscaling {
 namespace {
@@ -133,7 +134,7 @@
         ProofCase{"requested_before_the_machine_was_seen", 1, 20, true, false, false},
         ProofCase{"cut_off_list", 1000, 0, false, false, false},
         ProofCase{"listed", 1000, 0, true, true, false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(MissingMachines, TheirTasksAreGoneAndLaterListsDoNotBringThemBack) {
   Leader leader;
@@ -188,7 +189,7 @@
         PresenceCase{"another_controller_leads", [](Leader& leader) { leader.state.incarnation = 8; }},
         PresenceCase{"state_is_not_current",
                      [](Leader& leader) { leader.state.synchronized_at = ago(1.6); }}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(MissingMachines, ALateCopyOfAHeartbeatIsNoSignOfLife) {
   Leader leader;
--- a/tests/autoscaling/scale_in_plan_test.cpp
+++ b/tests/autoscaling/scale_in_plan_test.cpp
@@ -6,6 +6,7 @@
 
 #include "assignments/single_partition.hpp"
 #include "autoscaling/machine_release.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::autoscaling {
 namespace {
@@ -204,7 +205,7 @@
                fixture.machine().idle_since = ago(601);
              },
              kKept}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(ScaleInPlan, ReleasesNoMoreThanTheLimitAtOnce) {
   Fixture fixture;
--- a/tests/autoscaling/scale_out_plan_test.cpp
+++ b/tests/autoscaling/scale_out_plan_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::autoscaling {
 namespace {
@@ -189,7 +190,7 @@
                fixture.add_demand(8);
              },
              {{kCpuSpot, 1}}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(ScaleOutPlan, OrdersEquallyNeededKindsByJoinedNames) {
   Fixture fixture;
--- a/tests/cloud/cloud_client_test.cpp
+++ b/tests/cloud/cloud_client_test.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <optional>
 
+#include "core/case_names.hpp"
 #include "sim/scripted_network.hpp"
 
 namespace finchrun::cloud {
@@ -73,7 +74,7 @@
                     ErrorCase{"other_object", {200, "{}"}, Error::malformed},
                     ErrorCase{"no_types", {200, R"({"racks":[]})"}, Error::malformed},
                     ErrorCase{"type_without_size", {200, R"({"racks":[{"name":"x"}]})"}, Error::malformed}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 const char* kFirstPage = R"({"perches":[{"nameId":"m-1","endpoint":"10.0.0.1:80","rack":"gpu.8","hall":"a",
     "loaners":true,"status":"running","heldS":12.5}],"hasNext":true})";
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <string>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::config {
 namespace {
 
@@ -101,7 +103,7 @@
         LimitsCase{"larger_announced_limits_are_ignored",
                    "[deployment.state]\ntxn_ops = 8\n[deployment.state.next]\ntxn_ops = 32\nvalue_kb = 1.0\n",
                    {100, 20, 1, 8}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 struct InvalidAnnouncement {
   const char *next, *field;
--- a/tests/controller/controller_state_test.cpp
+++ b/tests/controller/controller_state_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::controller {
 
@@ -42,7 +43,7 @@
                     MemberCase{
                         "all_have_a_level", {R"({"inc":1,"level":1})", R"({"inc":2,"level":2})"}, true},
                     MemberCase{"one_without_a_level", {R"({"inc":1,"level":1})", R"({"inc":2})"}, false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 struct TokenCase {
   const char* name;
@@ -92,7 +93,7 @@
                               70, 70},
                     TokenCase{"led_by_an_earlier_process_of_this_label",
                               [](SinglePartition& leader) { leader.state.incarnation = 8; }, 40, 40}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(ControllerState, CommandTokenIsNeverBelowThePartitionsOwn) {
   SinglePartition leader;
@@ -148,7 +149,7 @@
                     RenewalCase{"all_peers_answered_too_long_ago", 100, {180, 190}, 197, false},
                     RenewalCase{"one_peer_did_not_answer", 100, {0, 190}, 191, false},
                     RenewalCase{"one_peer_answered_before_the_newest_read", 100, {50, 190}, 116.8, true}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(ControllerState, LeadsOnlyAfterReadingTheRecordsOfEarlierLeaders) {
   ControllerState state(settings(), {});
@@ -194,7 +195,7 @@
         SchedulableCase{"silent", [](auto& machine) { machine.last_heartbeat = {}; }, false},
         SchedulableCase{"termination_notice", [](auto& machine) { machine.termination_notice_s = 10; },
                         false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(ControllerState, NewLeaderUsesMachinesUntilTheirFirstHeartbeatIsOverdue) {
   ControllerState state(settings(), {});
@@ -247,7 +248,7 @@
                     DeadlineCase{"no_objective_for_the_class", {kWaitOfOtherClass}, 183, false},
                     DeadlineCase{"objective_of_another_class", {kWaitOfOtherClass, kDeadline}, 183, true},
                     DeadlineCase{"wait_objective_too", {kDeadline, kWait}, 183, false}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(ControllerState, JobClassTaskCountsDecayAfterTheirJobsEnd) {
   SinglePartition partition;
--- a/tests/controller/quota_usage_test.cpp
+++ b/tests/controller/quota_usage_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::controller {
 namespace {
@@ -55,7 +56,7 @@
                     ExitCase{"one_ended", {{{}, {}, 1, 9, false}}, 4},
                     ExitCase{"one_done_and_ended", {{{}, {}, 1, 9, true}, {{}, {}, 1, 9, false}}, 4},
                     ExitCase{"earlier_attempt", {{{}, {}, 1, 8, true}}, 6}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // Three jobs of one team, in order of submission.
 struct GuaranteeCase {
@@ -95,7 +96,7 @@
                       {"red", 8, 0, 0, 0},
                       {{1, 1}, {1, 0}, {1, 0}},
                       {false, true, true}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 }  // namespace
 }  // namespace finchrun::controller
--- a/tests/coordination/leadership_test.cpp
+++ b/tests/coordination/leadership_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::coordination {
 namespace {
 
@@ -186,7 +188,7 @@
      .acquires = true,
      .transfers_to = "perch-1"},
 };
-const auto case_name = [](const auto& info) { return std::string(info.param.name); };
+const auto case_name = kCaseName;
 INSTANTIATE_TEST_SUITE_P(Failover, LeadershipDecision, testing::ValuesIn(kFailover), case_name);
 INSTANTIATE_TEST_SUITE_P(FirstLeader, LeadershipDecision, testing::ValuesIn(kFirstLeader), case_name);
 INSTANTIATE_TEST_SUITE_P(OwnPartition, LeadershipDecision, testing::ValuesIn(kOwnPartition), case_name);
--- a/tests/gateway/admission_test.cpp
+++ b/tests/gateway/admission_test.cpp
@@ -4,6 +4,8 @@
 
 #include <functional>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::gateway {
 namespace {
 
@@ -144,7 +146,7 @@
                                      submission.spec.tasks = 100000, submission.spec.need = {0, 0, 1};
                                    },
                                    InfeasibleReason::gang_too_large}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(Admission, NewJobIsRecordedOnlyIfNoRecordExists) {
   Deployment deployment;
--- a/tests/gateway/agent_decisions_test.cpp
+++ b/tests/gateway/agent_decisions_test.cpp
@@ -5,6 +5,7 @@
 
 #include "assignments/single_partition.hpp"
 #include "autoscaling/scale_in_plan.hpp"
+#include "core/case_names.hpp"
 #include "core/in_flight.hpp"
 #include "gateway/direct_commands.hpp"
 #include "gateway/due_stops.hpp"
@@ -71,7 +72,6 @@
   bool expected;
 };
 void PrintTo(const Case& test_case, std::ostream* out) { *out << test_case.name; }
-std::string name_of_case(const testing::TestParamInfo<Case>& info) { return info.param.name; }
 
 // Guards against tasks that stay assigned to a lost machine forever: a machine that was known from a
 // redirected heartbeat only had no partition, so its deletion was never requested by the leader that this
@@ -149,7 +149,7 @@
                    {"parts/a.0", boost::json::parse(R"({"owner":"perch-1","inc":2})"), 90});
              },
              false}),
-    name_of_case);
+    kCaseName);
 
 TEST(Probes, PreferAgentsThatDoNotKnowTheToken) {
   Leader leader;
@@ -191,7 +191,7 @@
              [](Leader& leader) { leader.machine->direct_command_failed_at = ago(19); }, false},
         Case{"direct_command_unanswered_long_ago",
              [](Leader& leader) { leader.machine->direct_command_failed_at = ago(21); }, true}),
-    name_of_case);
+    kCaseName);
 
 TEST(CommandAnswers, AreInterpretedByStatusAndBody) {
   const std::string heartbeat =
@@ -238,7 +238,7 @@
                                          OvertakenCase{"another_incarnation", kToken, kToken, false},
                                          OvertakenCase{"raised_by_another_leader", kToken, kToken + 6,
                                                        false}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 struct EarlierAttemptCase {
   const char* name;
@@ -266,7 +266,7 @@
                                          EarlierAttemptCase{"no_higher_token_available", kToken, 40, false,
                                                             kToken},
                                          EarlierAttemptCase{"void_already", kToken - 1, 60, true, kToken}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(CommandAnswers, NoAnswerMarksOnlyTheAddressedIncarnationUnreachable) {
   Leader leader;
@@ -319,7 +319,7 @@
         Case{"machine_deleted", [](Leader& leader) { leader.machine->deleted = true; }, false},
         Case{"no_heartbeat", [](Leader& leader) { leader.machine->has_heartbeat = false; }, false},
         Case{"no_longer_recorded", [](Leader& leader) { leader.assign(leader.job_id, {}); }, false}),
-    name_of_case);
+    kCaseName);
 
 TEST(Stops, AreLimitedInFlight) {
   Leader leader;
@@ -399,7 +399,7 @@
                       leader.state.fleet.deleted_machines.insert(leader.machine->id);
                     },
                     MachineDeleted{}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // With a heartbeat every 3 s, an agent that fails to reach the leader after a redirect returns within 17 s.
 TEST(Forwarding, RelaysForAgentsThatCannotReachTheLeader) {
--- a/tests/jobs/job_test.cpp
+++ b/tests/jobs/job_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::jobs {
 namespace {
 
@@ -93,7 +95,7 @@
                    Shape::array},
         StoredCase{"cancelled", R"({"st":"cancelled","n":4,"team":"red","need":[1.0,0.0,2.0]})",
                    Status::cancelled, Shape::array}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // When an earlier release moves a job's ranges, it keeps only the fields that it knows, with their types.
 TEST(Records, ServiceSurvivesRewriteByEarlierRelease) {
--- a/tests/ledger/quota_shares_test.cpp
+++ b/tests/ledger/quota_shares_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::ledger {
 namespace {
 
@@ -34,7 +36,7 @@
                                          Case{"two_partitions_grant", 16, {0, 2, 0}, {26, 2, 2}},
                                          Case{"used_amounts_are_kept", 20, {0, 9, 10}, {11, 9, 10}},
                                          Case{"request_is_capped_by_the_limit", 99, {0, 0, 0}, {30, 0, 0}}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(QuotaShares, NothingIsGrantedWithoutLimit) {
   QuotaShares shares({0, 0, 0}, 2);
--- a/tests/peer/messages_test.cpp
+++ b/tests/peer/messages_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::peer {
 namespace {
 
@@ -67,7 +69,7 @@
                        frame(4, std::string("\x2a\0\0\0", 4) + encoded_text("body"))},
         EncodedMessage{"cancellation_notice", CancellationNotice{"req-1", "{}", 41},
                        frame(5, encoded_text("req-1") + encoded_text("{}") + encoded_number(41))}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 std::string truncated_frame() {
   auto frame = encode(Reply{200, "body"});
@@ -102,7 +104,7 @@
         UnreadableCase{"implausible_length", frame(2, std::string(8, '\xff')), DecodeError::malformed},
         UnreadableCase{"version_1", frame_of_version(1), DecodeError::other_version},
         UnreadableCase{"version_9", frame_of_version(9), DecodeError::other_version}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(PeerMessages, AnswerOfAnotherTypeIsRejected) {
   const auto reply = decode_answer<Reply>(encode(Reply{200, "body"}));
--- a/tests/sched/place_test.cpp
+++ b/tests/sched/place_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
 #include "sched/distribute.hpp"
 
 namespace finchrun::sched {
@@ -126,11 +127,7 @@
                          {1},
                          0,
                          {0}}),
-    [](const auto& info) {
-      std::string name = info.param.name;
-      std::replace(name.begin(), name.end(), ' ', '_');
-      return name;
-    });
+    kCaseName);
 
 TEST(Place, PrefersMachineWithCachedImage) {
   auto cold = node(0, 4), warm = node(1, 4);
@@ -246,11 +243,7 @@
         DistributeCase{"spread_over_two_zones", 5, false, true, {room(0, 9), room(1, 9)}, {3, 2}},
         DistributeCase{
             "by_total_capacity_if_none_is_free", 4, false, false, {room(0, 0), room(1, 0)}, {2, 2}}),
-    [](const auto& info) {
-      std::string name = info.param.name;
-      std::replace(name.begin(), name.end(), ' ', '_');
-      return name;
-    });
+    kCaseName);
 
 }  // namespace
 }  // namespace finchrun::sched
--- a/tests/sched/preempt_test.cpp
+++ b/tests/sched/preempt_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
 #include "jobs/job.hpp"
 
 namespace finchrun::sched {
@@ -150,7 +151,7 @@
                          testing::Values(ReservationCase{"no_reservation_before_minimum_wait", 5, 2, 0},
                                          ReservationCase{"reservation_after_minimum_wait", 30, 2, 2},
                                          ReservationCase{"first_gang_may_exceed_machine_limit", 30, 1, 2}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // A steady stream of small jobs takes all freed resources. Without a reservation the gang never starts.
 TEST(GangReservations, StartGangUnderStreamOfSmallJobs) {
@@ -244,7 +245,7 @@
                     ClaimCase{"idle_within_guarantee_preempts_high_over", true, 0, false, 2, 1},
                     ClaimCase{"high_within_guarantee_preempts_idle_within", true, 2, true, 0, 1},
                     ClaimCase{"idle_within_guarantee_does_not_preempt_high_within", true, 0, true, 2, 0}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 }  // namespace
 }  // namespace finchrun::sched
--- a/tests/scheduling/cluster_load_test.cpp
+++ b/tests/scheduling/cluster_load_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::scheduling {
 namespace {
@@ -60,7 +61,7 @@
                     MachineCase{"quarantined", [](auto& m) { m.quarantined = true; }, 0},
                     MachineCase{"spot_not_allowed_by_job", [](auto& m) { m.spot = true; }, 0},
                     MachineCase{"without_partition", [](auto& m) { m.partition = {}; }, 0}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // A machine in a partition led here whose agent does not yet accept this leader must not count as capacity.
 TEST(ClusterLoad, CountsOwnMachinesOnceSchedulable) {
--- a/tests/scheduling/preemption_test.cpp
+++ b/tests/scheduling/preemption_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::scheduling {
 namespace {
@@ -44,7 +45,7 @@
         CostCase{"running_longer_than_expected", spec(Shape::gang, 60, 8, 600), 900, 13, 61},
         CostCase{"replica_costs_restart_gap", spec(Shape::service, 0, 0, jobs::kUnlimitedRunTimeS), 9000, 30,
                  jobs::kUnlimitedRunTimeS}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // A stop takes 10 s with heartbeats every 3 s, in addition to the time to save a checkpoint.
 TEST(MustEvict, LeavesTimeToSaveCheckpoint) {
--- a/tests/scheduling/quota_sharing_test.cpp
+++ b/tests/scheduling/quota_sharing_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::scheduling {
 namespace {
@@ -46,7 +47,7 @@
                                          DemandCase{"large_array_requests_16_tasks", false, 100, 8, 32},
                                          DemandCase{"gang_waits_for_machines", true, 4, 0, 0},
                                          DemandCase{"gang_over_its_share", true, 4, 5, 5}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 // Team red has a limit of 800. Shares and requests of a.0 (led here) and b.0.
 struct Record {
@@ -113,7 +114,7 @@
         ShareCase{"grant", {400, 0, 400, 100}, 50, 0, 450, Record{300, 0, 500, 0}},
         ShareCase{"grant_limited_to_unused", {400, 0, 400, 390}, 50, 0, 450, Record{50, 0, 750, 40}},
         ShareCase{"no_grant_while_a_fence_is_due", {400, 0, 400, 100}, 50, 0, 450, {}, 0, true}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // Changes by a former leader would conflict with the decisions of the current one.
 TEST(QuotaSharing, NoChangeWithoutLeadership) {
--- a/tests/scheduling/rebalancer_test.cpp
+++ b/tests/scheduling/rebalancer_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::scheduling {
 namespace {
@@ -44,7 +45,7 @@
         MoveCase{"tasks_of_another_partition_stay",
                  {4, 5},
                  {{0, 4, kOwnPartition}, {4, 6, kOtherPartition}, {6, 8, kOwnPartition}}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 // A job of four tasks with one accelerator each waits in a.0. Partition b.0, led elsewhere, has `free_gpus`.
 struct PlanCase {
@@ -174,7 +175,7 @@
                        {"jobs/req", jobs::to_json(record, deployment.state.names), ++deployment.revision});
                  },
                  {{0, 2, kOwnPartition}, {2, 4, kOtherPartition}}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 }  // namespace
 }  // namespace finchrun::scheduling
--- a/tests/scheduling/round_view_test.cpp
+++ b/tests/scheduling/round_view_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::scheduling {
 namespace {
@@ -138,7 +139,7 @@
                                          DecidesCase{"not_the_leader", true, true, false, 1, false, false},
                                          DecidesCase{"late_write_possible", true, true, true, 1, true,
                                                      false}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 }  // namespace
 }  // namespace finchrun::scheduling
--- a/tests/scheduling/scheduling_round_test.cpp
+++ b/tests/scheduling/scheduling_round_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/case_names.hpp"
+
 namespace finchrun::scheduling {
 namespace {
 
@@ -50,7 +52,7 @@
                                          BatchesCase{"gang_as_a_whole", {true}, {7}, {7}},
                                          BatchesCase{
                                              "no_batch_shared_by_jobs", {false, true}, {2, 1}, {2, 1}}),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         kCaseName);
 
 TEST(RemovePlacedTasks, KeepsWaitingTasks) {
   std::vector<sched::Demand> demands{demand(0, 3, false), demand(1, 2, false), demand(2, 2, true)};
--- a/tests/state/membership_test.cpp
+++ b/tests/state/membership_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::coordination {
 namespace {
@@ -49,7 +50,7 @@
         LossCase{"state_is_being_reloaded", LeaseRenewal::renewed, nullptr, 12, false, std::nullopt},
         LossCase{"key_overwritten_by_earlier_process", LeaseRenewal::renewed, R"({"inc":60,"level":2})", 12,
                  true, "member_key_of_another_process"}),
-    [](const auto& info) { return std::string(info.param.name); });
+    kCaseName);
 
 TEST(StateFollower, ReadsAllRecordsOnlyAtStartAndAfterALongGap) {
   const auto at = [](double s) { return core::TimePoint(core::to_duration(s)); };
