State cache: an assignment that moves to another shard stays on its machine

The agents were asked to stop tasks that were recorded all the time.

Cause: when a shard is split, an assignment leaves its old shard and enters a new one in one transaction. If the new shard is applied first, the index by machine holds the assignment twice for a moment; removing it with the old shard removed both. The machine's heartbeat then showed a task that no record named, and the answer stopped it. Free room on the machine was counted too high until the shard was written again. The order depends on the names of the shards.

The test is red before, in one of the two orders.

Change: one entry is removed for one that was added.

--- a/src/state/assignment_table.cpp
+++ b/src/state/assignment_table.cpp
@@ -129,10 +129,15 @@
   for (const auto& assignment : removed.job_assignments.assignments) {
     const auto machine = by_machine_.find(assignment.machine);
     if (machine == by_machine_.end()) continue;
-    std::erase_if(machine->second, [&](const MachineAssignment& listed) {
-      return listed.job == id && listed.partition == removed.partition && listed.assignment == assignment;
-    });
-    if (machine->second.empty()) by_machine_.erase(machine);
+    auto& listed_here = machine->second;
+    // One of two, while an assignment moves and its new shard is applied before its old one.
+    const auto listed =
+        std::find_if(listed_here.begin(), listed_here.end(), [&](const MachineAssignment& candidate) {
+          return candidate.job == id && candidate.partition == removed.partition &&
+                 candidate.assignment == assignment;
+        });
+    if (listed != listed_here.end()) listed_here.erase(listed);
+    if (listed_here.empty()) by_machine_.erase(machine);
   }
 }
 
--- a/tests/state/state_cache_test.cpp
+++ b/tests/state/state_cache_test.cpp
@@ -101,6 +101,23 @@
 // A tombstone marks a task as ended. Later one transaction moves the done task to another shard and removes
 // the tombstone. Reading the shard first applied the tombstone a second time, and counted the task as done
 // twice.
+// Guards against running tasks that are stopped as not recorded once their shard is split.
+TEST(StateCache, AssignmentThatMovesToAnotherShardStaysOnItsMachine) {
+  for (const bool new_shard_first : {false, true}) {
+    CacheFixture fixture;
+    fixture.cache.apply({"runs/a.0/0", shard(kPlaced), 10});
+    const auto machine = *fixture.names.machines.find("m");
+    const KeyUpdate to{"runs/a.0/1", shard(kPlaced), 12};
+    const KeyUpdate from{"runs/a.0/0", shard(R"({"p":[],"d":[]})"), 12};
+    fixture.cache.apply(new_shard_first ? to : from);
+    fixture.cache.apply(new_shard_first ? from : to);
+    EXPECT_EQ(fixture.cache.placed_tasks(core::JobId{0}), 1u);
+    EXPECT_EQ(fixture.cache.on_machine(machine).size(), 1u) << "new shard first: " << new_shard_first;
+    fixture.cache.apply({"runs/a.0/1", std::nullopt, 13});
+    EXPECT_TRUE(fixture.cache.on_machine(machine).empty());
+  }
+}
+
 TEST(StateCache, ContentsDoNotDependOnReadOrderOfTransaction) {
   std::vector<KeyUpdate> moved{{"runs/a.0/0", shard(R"({"p":[[7,[["m",1,[1]]]]],"d":[]})"), 12},
                                {"runs/a.0/1", shard(R"({"p":[],"d":[[0,1]]})"), 12},
