Fleet: a silent machine is kept while its agent may execute a direct start

What callers would see: ran_twice, as in the incident, where agents' leases are longer than a silent, unlisted machine is remembered (4 list lags and 60 s). No deployment has such leases; found when the change was read once more. With the machine its direct starts were dropped, answered ones too. If the agent came back in the same session, its ended attempts would have been forgotten under the token of their starts; only a length of time stood against it. Change: such a machine is dropped only once none of its direct starts carries a token of this leadership or a higher one, or its deletion is proved.

--- a/src/agent/direct_starts.cpp
+++ b/src/agent/direct_starts.cpp
@@ -40,6 +40,11 @@
   return highest;
 }
 
+bool DirectStarts::has_any(std::uint64_t least_token) const {
+  return std::any_of(starts_.begin(), starts_.end(),
+                     [&](const auto& item) { return item.second.fencing_token >= least_token; });
+}
+
 std::optional<core::TimePoint> DirectStarts::oldest_unanswered(std::uint64_t least_token) const {
   std::optional<core::TimePoint> oldest;
   for (const auto& [_, start] : starts_) {
--- a/src/agent/direct_starts.hpp
+++ b/src/agent/direct_starts.hpp
@@ -36,6 +36,8 @@
   /// Returns the time at which the oldest start was sent that has this fencing token or a higher one and no
   /// answer; empty if there is none.
   [[nodiscard]] std::optional<core::TimePoint> oldest_unanswered(std::uint64_t least_token) const;
+  /// Returns true if a start has this fencing token or a higher one.
+  [[nodiscard]] bool has_any(std::uint64_t least_token) const;
   [[nodiscard]] std::size_t size() const { return starts_.size(); }
 
  private:
--- a/src/autoscaling/machine_inventory.cpp
+++ b/src/autoscaling/machine_inventory.cpp
@@ -23,12 +23,19 @@
   machine.status = listed.status;
 }
 
+/// Returns true if the machine's agent may execute a direct start, or a copy of it, if it comes back.
+bool may_execute_direct_start(const ControllerState& state, const agent::Machine& machine) {
+  return !machine.deleted && machine.partition.valid() &&
+         machine.direct_starts.has_any(state.fencing_token(machine.partition));
+}
+
 /// Removes machines that are not listed, have no recorded assignments and have been silent for long.
 void remove_stale_machines(ControllerState& state, core::TimePoint now) {
   const double retention_s = 4 * state.settings.cloud_list_lag_s + 60;
   std::erase_if(state.fleet.machines(), [&](const auto& item) {
     const auto& [id, machine] = item;
     return !machine.listed && state.cache.on_machine(id).empty() &&
+           !may_execute_direct_start(state, machine) &&
            core::seconds_between(machine.first_seen, now) > retention_s &&
            core::seconds_between(machine.last_heartbeat, now) > retention_s;
   });
--- a/tests/autoscaling/machine_inventory_test.cpp
+++ b/tests/autoscaling/machine_inventory_test.cpp
@@ -80,6 +80,36 @@
   EXPECT_TRUE(machine->ever_listed);
 }
 
+struct StaleMachineCase {
+  const char* name;
+  std::uint64_t start_token;  // of its last direct start; 0: none. The partition's is 40
+  bool deleted;
+  bool kept;
+};
+class StaleMachines : public testing::TestWithParam<StaleMachineCase> {};
+// Guards against a start that runs once more because its machine was dropped while silent and came back.
+TEST_P(StaleMachines, AreKeptWhileTheirAgentsMayExecuteADirectStart) {
+  Leader leader;
+  auto& state = leader.state;
+  auto& machine = state.fleet.find_or_add(state.names, "host-2", {});
+  machine.partition = leader.partition;
+  machine.first_seen = machine.last_heartbeat = ago(9000);
+  machine.deleted = GetParam().deleted;
+  if (GetParam().start_token != 0) {
+    machine.direct_starts.record({leader.job_id, 1, 9}, GetParam().start_token, 1, ago(9000));
+    machine.direct_starts.mark_answered({leader.job_id, 1, 9});
+  }
+  apply_machine_list(state, {{}, kNow, true}, kNow);
+  EXPECT_EQ(state.fleet.find(*state.names.machines.find("host-2")) != nullptr, GetParam().kept);
+}
+INSTANTIATE_TEST_SUITE_P(Table, StaleMachines,
+                         testing::Values(StaleMachineCase{"without_a_start", 0, false, false},
+                                         StaleMachineCase{"start_under_the_present_token", 40, false, true},
+                                         StaleMachineCase{"start_under_a_raised_token", 45, false, true},
+                                         StaleMachineCase{"start_under_an_earlier_token", 39, false, false},
+                                         StaleMachineCase{"deleted", 40, true, false}),
+                         kCaseName);
+
 // Guards against tasks that neither run nor start again without a line in the log.
 struct SilenceCase {
   const char* name;
