Soak on real processes: the simulated cluster's models behind sockets, in real time

The soak starts controllers by the deploy file's command, forwards each direction of each link between them (held and released late, reset), kills, pauses and restarts them, delays, loses and repeats requests of every kind, and checks each rule on what the stand-ins saw. The simulated network gains direct commands that are carried out late and responses that are slow; the cloud's model gains pages. Both are off unless a test asks for them.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -4,6 +4,8 @@
 # decide the exit status. An entry that names no test, or a fourth entry, is an error.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# The soak runs the controllers of the deploy file.
+bash -c "$(sed -n 's/^build = "\(.*\)"/\1/p' deploy/service.toml)" >/dev/null
 cmake -S . -B build-tests -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG=-g1 -DFINCHRUN_SANITIZE=ON >/dev/null
 cmake --build build-tests -j"$(nproc)"
 bash tests/known_red_test.sh
--- a/tests/sim/agents.cpp
+++ b/tests/sim/agents.cpp
@@ -2,7 +2,7 @@
 #include <utility>
 
 #include "http/status.hpp"
-#include "sim/cluster.hpp"
+#include "sim/deployment.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-void Cluster::step_agent(Agent& agent) {
+void Deployment::step_agent(Agent& agent) {
   if (agent.dead || agent.suspended) return;
   expire_lease(agent);
   std::vector<std::string> completed;
@@ -26,7 +26,7 @@
   send_heartbeat(agent);
 }
 
-void Cluster::expire_lease(Agent& agent) {
+void Deployment::expire_lease(Agent& agent) {
   const auto previous_incarnation = agent.agent_incarnation;
   const auto killed_tasks =
       static_cast<std::size_t>(std::count_if(agent.tasks.begin(), agent.tasks.end(), [&](const auto& item) {
@@ -37,7 +37,7 @@
 }
 
 // Advances a task's state if its next transition is due. Returns true if the task has completed.
-bool Cluster::step_task(Agent& agent, Task& task) {
+bool Deployment::step_task(Agent& agent, Task& task) {
   if (task.state == "pulling" && task.next_transition <= now_) {
     task.state = "waiting";
     start_task(agent, task);
@@ -69,7 +69,7 @@
 }
 
 // Returns true if all tasks of the gang's attempt are on machines that do not hang. Completed peers count.
-bool Cluster::is_gang_present(const Task& task) const {
+bool Deployment::is_gang_present(const Task& task) const {
   std::size_t present_tasks = 0;
   for_each_task([&](const Agent& agent, const Task& other) {
     if (agent.dead || agent.suspended) return;
@@ -80,7 +80,7 @@
 }
 
 // Ends a running gang's task if a peer has been missing for too long. Returns true if it has ended.
-bool Cluster::end_without_gang_peers(Agent& agent, Task& task) {
+bool Deployment::end_without_gang_peers(Agent& agent, Task& task) {
   const auto& job = jobs.at(task.job);
   if (!job.gang || task.state != "running" || job.completed.contains(task.number)) return false;
   if (is_gang_present(task)) {
@@ -96,7 +96,7 @@
 }
 
 // Runs a waiting task. A gang's task runs only when all tasks of its attempt are on their machines.
-void Cluster::run_task(Agent& agent, Task& task) {
+void Deployment::run_task(Agent& agent, Task& task) {
   auto& job = jobs.at(task.job);
   if (job.gang && !is_gang_present(task)) return;
   task.state = "running";
@@ -107,13 +107,13 @@
   agent.changed = true;
 }
 
-void Cluster::start_task(Agent& agent, Task& task) {
+void Deployment::start_task(Agent& agent, Task& task) {
   ++task_starts;
   starts_after_cancellation += jobs.at(task.job).reported_cancelled_at ? 1 : 0;
   check_start(agent, task);
 }
 
-void Cluster::send_heartbeat(Agent& agent) {
+void Deployment::send_heartbeat(Agent& agent) {
   agent.in_flight = true;
   agent.changed = false;
   http::Request request{"POST", "/hello", json::serialize(agent.heartbeat())};
@@ -133,9 +133,9 @@
   }
   const auto ignore = [](std::optional<http::Response>) {};
   if (chance(faults.duplicate_heartbeat_probability)) {
-    const double delay_s = std::uniform_real_distribution<double>(0.5, faults.max_duplicate_delay_s)(random);
+    const double delay_s = random_s(0.5, faults.max_duplicate_delay_s);
     post(delay_s, [this, request, ignore] {
-      send_request(random() % processes_.size(), request, ignore, kHeartbeatTimeoutS);
+      send_request(random() % controller_count(), request, ignore, kHeartbeatTimeoutS);
     });
   }
   if (agent.inbound_blocked) {
@@ -148,8 +148,8 @@
 
 // Handles the response to a heartbeat that the agent sent at `sent` in `incarnation`; nullopt means that no
 // response arrived.
-void Cluster::handle_heartbeat_response(Agent& agent, TimePoint sent, std::uint64_t incarnation,
-                                        const std::optional<http::Response>& response) {
+void Deployment::handle_heartbeat_response(Agent& agent, TimePoint sent, std::uint64_t incarnation,
+                                           const std::optional<http::Response>& response) {
   const int status = response ? response->status : http::status::kNoAnswer;
   if (status == http::status::kOk) {
     const auto body = json::parse(response->body).as_object();
@@ -172,10 +172,10 @@
       }
     }
   }
-  agent.controller = (agent.controller + 1) % processes_.size();
+  agent.controller = (agent.controller + 1) % controller_count();
 }
 
-void Cluster::repeat_commands() {
+void Deployment::repeat_commands() {
   for (auto& [_, agent] : agents) {
     if (agent.dead || agent.suspended || agent.inbound_blocked) continue;
     const auto starts_before = agent.starts_executed;
@@ -184,7 +184,7 @@
   }
 }
 
-void Cluster::restart(Agent& agent, bool new_incarnation) {
+void Deployment::restart(Agent& agent, bool new_incarnation) {
   agent.tasks.clear();
   agent.changed = true;
   if (!new_incarnation) return;
@@ -192,7 +192,7 @@
   agent.last_answered = now_;
 }
 
-void Cluster::suspend(Agent& agent, double duration_s) {
+void Deployment::suspend(Agent& agent, double duration_s) {
   agent.suspended = true;
   after(duration_s, [this, name = agent.name] {
     const auto it = agents.find(name);
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -20,7 +20,8 @@
 }  // namespace
 
 Cluster::Cluster(std::uint32_t seed, int controllers, int machines_per_zone, AgentTiming timing)
-    : random(seed), now_(core::to_duration(1000)), processes_(static_cast<std::size_t>(controllers)) {
+    : Deployment(seed), processes_(static_cast<std::size_t>(controllers)) {
+  now_ = TimePoint{core::to_duration(1000)};
   core::SteadyClock::simulate(now_);
   settings_.zones = {"a", "b"};
   settings_.controller_count = controllers;
@@ -68,54 +69,18 @@
   after(restart_after_s, [this, controller] { boot(controller); });
 }
 
-double Cluster::delay() { return std::uniform_real_distribution<double>(0.001, faults.max_delay_s)(random); }
-bool Cluster::chance(double probability) {
-  return probability > 0 && std::uniform_real_distribution<double>(0, 1)(random) < probability;
-}
 void Cluster::post(double delay_s, std::function<void()> action) {
   events_.emplace(now_ + core::to_duration(delay_s), std::move(action));
 }
-void Cluster::after(double seconds, std::function<void()> action) { post(seconds, std::move(action)); }
-
-void Cluster::recover_store() {
-  constexpr double kSlowReadsS = 0.6;
-  slow_reads_until_ = now_ + core::to_duration(kSlowReadsS);
-  store.recover(now_);
-}
-
 void Cluster::execute_withheld_writes() {
   for (const auto& write : std::exchange(withheld_writes_, {})) write();
 }
 
-std::string Cluster::add_unlisted_machine(const std::string& zone, std::size_t controller) {
-  const auto name = cloud.add_machine(zone, now_, 0);
-  cloud.hosts[name].spot = cloud.hosts[name].unlisted = true;
-  agents[name] = new_agent(cloud.hosts[name]);
-  agents[name].controller = controller;
-  return name;
-}
-
-void Cluster::remove_machine(const std::string& name) {
-  cloud.hosts.erase(name);
-  agents.erase(name);
-}
-
 void Cluster::run(double seconds) {
   const auto end = now_ + core::to_duration(seconds);
   while (now_ < end) step();
 }
 
-Agent Cluster::new_agent(const CloudService::Host& host) const {
-  Agent agent;
-  agent.name = host.name;
-  agent.endpoint = host.endpoint;
-  agent.type = host.type;
-  agent.zone = host.zone;
-  agent.spot = host.spot;
-  agent.last_answered = agent.next_heartbeat = now_;
-  return agent;
-}
-
 void Cluster::step() {
   now_ += kTimeStep;
   core::SteadyClock::simulate(now_);
@@ -129,21 +94,8 @@
     if (!process || suspended_controllers.contains(i)) continue;
     for (int idle_polls = 0; idle_polls < 2;) idle_polls = process->io.poll() > 0 ? 0 : idle_polls + 1;
   }
-  for (const auto& [name, host] : cloud.hosts) {
-    if (!agents.contains(name) && host.ready_at <= now_) agents[name] = new_agent(host);
-  }
-  for (auto& [_, agent] : agents) step_agent(agent);
+  step_agents();
   check_rules();
 }
 
-std::size_t Cluster::busiest_leader() const {
-  std::map<std::size_t, int> partitions_led;
-  for (const auto& [key, value] : store.items_with_prefix("parts/"))
-    ++partitions_led[static_cast<std::size_t>(value.at("owner").as_string().back() - '0')];
-  std::size_t busiest = 0;
-  for (const auto& [controller, count] : partitions_led)
-    if (count > partitions_led[busiest]) busiest = controller;
-  return busiest;
-}
-
 }  // namespace finchrun::sim
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -6,6 +6,11 @@
 #include <boost/asio/use_awaitable.hpp>
 
 namespace finchrun::sim {
+namespace {
+
+constexpr double kMinLateCommandS = 2, kMaxLateCommandS = 16;
+
+}  // namespace
 
 asio::awaitable<ClientResponse> Cluster::ServiceConnection::call(http::Verb verb, std::string target,
                                                                  std::string body,
@@ -19,28 +24,33 @@
   const bool lost = cluster.chance(faults.request_loss_probability) || !cluster.can_reach(controller, to);
   const bool late = cluster.chance(faults.late_request_probability);
   const bool to_store = to.host == kStoreHost;
+  const bool late_command = target == "/do" && cluster.chance(faults.late_command_probability);
   if (to_store && target == "/commit" && cluster.delay_write(controller, to, body)) {
     boost::system::error_code ec;
     co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_return ClientResponse{};
   }
-  const double arrival_delay_s =
-      (late ? core::Seconds(timeout).count() + 20 * cluster.delay() : cluster.delay()) +
-      (to_store ? cluster.store_delay_s(target) : 0);
+  const double arrival_delay_s = late_command ? cluster.random_s(kMinLateCommandS, kMaxLateCommandS)
+                                 : late       ? core::Seconds(timeout).count() + 20 * cluster.delay()
+                                              : cluster.delay();
+  const double store_delay_s = to_store ? cluster.store_delay_s(target) : 0;
   if (!lost) {
-    cluster.post(arrival_delay_s,
-                 [pending, verb, target, body, &cluster = cluster, controller = controller, to = to] {
-                   if (!cluster.can_reach(controller, to)) return;
-                   auto answer = cluster.deliver(controller, to, verb, target, body);
-                   if (cluster.chance(cluster.faults.response_loss_probability) ||
-                       answer.status == http::status::kNoAnswer)
-                     return;
-                   cluster.repeat_later(controller, to, verb, target, body);
-                   cluster.post(cluster.delay(), [pending, answer] {
-                     pending->answer = answer;
-                     pending->timer.cancel();
-                   });
-                 });
+    cluster.post(arrival_delay_s + store_delay_s, [pending, verb, target, body, late_command,
+                                                   &cluster = cluster, controller = controller, to = to] {
+      if (!cluster.can_reach(controller, to)) return;
+      auto answer = cluster.deliver(controller, to, verb, target, body);
+      if (cluster.chance(cluster.faults.response_loss_probability) ||
+          answer.status == http::status::kNoAnswer || late_command)
+        return;
+      cluster.repeat_later(controller, to, verb, target, body);
+      const double slow_s = cluster.chance(cluster.faults.slow_response_probability)
+                                ? cluster.random_s(0, cluster.faults.max_slow_response_s)
+                                : 0;
+      cluster.post(cluster.delay() + slow_s, [pending, answer] {
+        pending->answer = answer;
+        pending->timer.cancel();
+      });
+    });
   }
   boost::system::error_code ec;
   co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -52,7 +62,7 @@
                            const std::string& target, const std::string& body) {
   const bool to_service = to.host == kStoreHost || to.host == kCloudHost;
   if (!to_service || verb == http::Verb::get || !chance(faults.repeated_request_probability)) return;
-  const double delay_s = std::uniform_real_distribution<double>(0.3, faults.max_duplicate_delay_s)(random);
+  const double delay_s = random_s(0.3, faults.max_duplicate_delay_s);
   post(delay_s, [=, this] { deliver(controller, to, verb, target, body); });
 }
 
@@ -65,7 +75,7 @@
     return true;
   }
   if (!chance(faults.late_write_probability)) return false;
-  post(std::uniform_real_distribution<double>(2, 12)(random), std::move(execute));
+  post(random_s(2, 12), std::move(execute));
   return true;
 }
 
--- a/tests/sim/rules.cpp
+++ b/tests/sim/rules.cpp
@@ -1,7 +1,7 @@
 // Checks the protocol's rules after every step against the agents' tasks and the responses to users.
 #include <cmath>
 
-#include "sim/cluster.hpp"
+#include "sim/deployment.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -12,7 +12,7 @@
 }  // namespace
 
 // Checks the rules ran_twice and wrong_place when a task starts.
-void Cluster::check_start(const Agent& agent, const Task& task) {
+void Deployment::check_start(const Agent& agent, const Task& task) {
   for_each_task([&](const Agent& other_agent, const Task& other) {
     if (&other != &task && other.job == task.job && other.number == task.number && other.is_on_machine() &&
         other_agent.name != agent.name)
@@ -30,7 +30,7 @@
   });
 }
 
-void Cluster::check_scatter(const Agent& agent, const Task& task) {
+void Deployment::check_scatter(const Agent& agent, const Task& task) {
   const auto& job = jobs.at(task.job);
   if (!job.spec.at("scatter").as_bool()) return;
   std::size_t count_in_zone = 0;
@@ -40,7 +40,7 @@
   if (count_in_zone > (job.tasks + 1) / 2) violations.push_back("wrong_place " + task.job + " not spread");
 }
 
-void Cluster::add_replica_time() {
+void Deployment::add_replica_time() {
   constexpr double kGraceS = 5, kTimeStepS = 0.01;
   for (const auto& [id, job] : jobs) {
     if (!job.is_service || !job.accepted || job.cancellation_requested ||
@@ -56,7 +56,7 @@
 }
 
 // Checks the rules quota, ran_cancelled and forgotten, and also that no job starves.
-void Cluster::check_rules() {
+void Deployment::check_rules() {
   std::map<std::string, double> used_gpus;
   for_each_task([&](const Agent& agent, const Task& task) {
     if (agent.dead || !task.is_on_machine()) return;
@@ -79,7 +79,7 @@
 
 // After the faults no job may wait for over 90 s while it fits on machines and under its team's limit. Tasks
 // that an agent has been told to start count as started.
-void Cluster::check_starvation() {
+void Deployment::check_starvation() {
   constexpr double kMaxWaitS = 90;
   if (faults_over_at == TimePoint{} || now_ < faults_over_at) return;
   const FreeCapacity capacity = free_capacity();
@@ -93,7 +93,7 @@
   }
 }
 
-Cluster::FreeCapacity Cluster::free_capacity() const {
+Deployment::FreeCapacity Deployment::free_capacity() const {
   FreeCapacity capacity;
   for (const auto& team : settings_.teams) capacity.gpus_by_team[team.name] = team.gpus_max;
   for (const auto& [_, agent] : agents) {
@@ -112,7 +112,7 @@
 }
 
 // False for services: the zone with free capacity may already have its maximum of replicas.
-bool Cluster::could_start(const std::string& id, const JobHistory& job, const FreeCapacity& capacity) {
+bool Deployment::could_start(const std::string& id, const JobHistory& job, const FreeCapacity& capacity) {
   if (job.is_service || !job.accepted || job.cancellation_requested) return false;
   const auto found = capacity.tasks.find(id);
   const std::size_t started = found == capacity.tasks.end() ? 0 : found->second;
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -8,8 +8,6 @@
 namespace finchrun::sim {
 namespace {
 
-constexpr std::size_t kMaxChangesKept = 400;
-
 std::uint64_t to_integer(const json::value& value) { return value.to_number<std::uint64_t>(); }
 ClientResponse json_response(int status, const json::object& body) { return {status, json::serialize(body)}; }
 
@@ -23,6 +21,19 @@
   return {};
 }
 
+// Returns the page of the list that begins after the machine `after`.
+ClientResponse page_of(const json::array& machines, const std::string& after, std::size_t limit) {
+  json::array page;
+  bool more = false;
+  for (const auto& machine : machines) {
+    if (machine.at("nameId").as_string() <= after) continue;
+    more = page.size() == limit;
+    if (more) break;
+    page.push_back(machine);
+  }
+  return json_response(http::status::kOk, {{"perches", std::move(page)}, {"hasNext", more}});
+}
+
 }  // namespace
 
 void StoreService::expire_leases(TimePoint now) {
@@ -99,12 +110,12 @@
       changes_.push_back({revision_, std::string(write.at("delete").as_string()), std::nullopt});
     }
   }
-  while (changes_.size() > kMaxChangesKept) changes_.pop_front();
+  while (changes_.size() > max_changes_kept) changes_.pop_front();
   return json_response(http::status::kOk, {{"epoch", revision_}});
 }
 
 ClientResponse StoreService::changes_since(std::uint64_t revision) const {
-  if (!changes_.empty() && changes_.size() >= kMaxChangesKept && revision + 1 < changes_.front().revision)
+  if (!changes_.empty() && changes_.size() >= max_changes_kept && revision + 1 < changes_.front().revision)
     return {http::status::kGone, "{}"};
   json::array events;
   for (const auto& change : changes_) {
@@ -259,13 +270,13 @@
 std::string CloudService::add_machine(const std::string& zone, TimePoint now, double boot_s) {
   char name[32];
   std::snprintf(name, sizeof name, "host-%06d", next_machine_number_);
-  const std::string endpoint = "10.1.0." + std::to_string(next_machine_number_ + 1) + ":9000";
-  hosts[name] = {name, endpoint, "g4", zone, false, now, now + core::to_duration(boot_s), false, false};
+  hosts[name] = {name, endpoint_of(next_machine_number_), "g4",  zone, false,
+                 now,  now + core::to_duration(boot_s),   false, false};
   ++next_machine_number_;
   return name;
 }
 
-json::object CloudService::list(TimePoint now) {
+json::array CloudService::list(TimePoint now) const {
   json::array result;
   for (const auto& [name, host] : hosts) {
     if (host.unlisted) continue;
@@ -278,7 +289,7 @@
                                   {"status", status},
                                   {"heldS", core::seconds_between(host.rented, now)}});
   }
-  return {{"perches", result}, {"hasNext", false}};
+  return result;
 }
 
 ClientResponse CloudService::handle(http::Verb verb, const std::string& target, const std::string& body,
@@ -311,7 +322,7 @@
     for (const auto& name : names) result.emplace_back(name);
     return json_response(http::status::kOk, {{"perches", result}});
   }
-  return lagging_list(now);
+  return lagging_list(target, now);
 }
 
 ClientResponse CloudService::release(const json::array& names) {
@@ -327,7 +338,7 @@
   return {http::status::kOk, "{}"};
 }
 
-ClientResponse CloudService::lagging_list(TimePoint now) {
+ClientResponse CloudService::lagging_list(const std::string& target, TimePoint now) {
   constexpr double kListLagS = 3;
   ++list_requests;
   recent_lists_.emplace_back(now, list(now));
@@ -338,7 +349,8 @@
     while (chosen + 1 < recent_lists_.size() &&
            recent_lists_[chosen + 1].first + core::to_duration(kListLagS) <= now)
       ++chosen;
-  return json_response(http::status::kOk, recent_lists_[chosen].second);
+  return page_of(recent_lists_[chosen].second, query_parameter(target, "from"),
+                 std::stoul(query_parameter(target, "limit")));
 }
 
 }  // namespace finchrun::sim
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -31,7 +31,8 @@
   bool outage = false;
   // Limits of new writes; values stored before stay readable.
   std::size_t max_value_bytes = 8192, max_transaction_writes = 16;
-  std::size_t rejected_for_size = 0;  // requests rejected with 400 for exceeding a limit
+  std::size_t max_changes_kept = 400;  // fewer than the protocol's, so that simulated days exceed them
+  std::size_t rejected_for_size = 0;   // requests rejected with 400 for exceeding a limit
   // Ends an outage and renews every store lease for its full term.
   void recover(TimePoint now);
   [[nodiscard]] std::map<std::string, json::value> items_with_prefix(const std::string& prefix) const;
@@ -149,8 +150,12 @@
   std::map<std::string, Host> hosts;
   std::function<void(const std::string&)> on_release;
   bool outage = false;
-  int capacity = 4;              // per zone
-  int spot_capacity = 0;         // spot machines per zone
+  int capacity = 4;       // per zone
+  int spot_capacity = 0;  // spot machines per zone
+  // Returns the address of the machine with this number.
+  std::function<std::string(int)> endpoint_of = [](int number) {
+    return "10.1.0." + std::to_string(number + 1) + ":9000";
+  };
   int machines_never_ready = 0;  // number of the next rented machines that never finish booting
   // Called with the names of each deletion request. A response is returned instead of deleting the machines.
   std::function<std::optional<ClientResponse>(const std::vector<std::string>&)> refuse_release;
@@ -165,9 +170,9 @@
 
  private:
   std::map<std::string, std::vector<std::string>> machines_by_request_;
-  std::deque<std::pair<TimePoint, json::object>> recent_lists_;
-  json::object list(TimePoint now);
-  ClientResponse lagging_list(TimePoint now);
+  std::deque<std::pair<TimePoint, json::array>> recent_lists_;
+  json::array list(TimePoint now) const;
+  ClientResponse lagging_list(const std::string& target, TimePoint now);
   ClientResponse release(const json::array& names);
   std::mt19937 random_;
   int next_machine_number_ = 0;
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -3,7 +3,7 @@
 #include <cstdio>
 
 #include "http/status.hpp"
-#include "sim/cluster.hpp"
+#include "sim/deployment.hpp"
 
 namespace finchrun::sim {
 namespace {
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-void Cluster::request_once(std::size_t controller, const std::string& method, const std::string& target,
-                           const std::string& body, std::function<void(int, std::string)> done) {
+void Deployment::request_once(std::size_t controller, const std::string& method, const std::string& target,
+                              const std::string& body, std::function<void(int, std::string)> done) {
   send_request(
       controller, {method, target, body},
       [done = std::move(done)](std::optional<http::Response> response) {
@@ -28,9 +28,9 @@
       kRequestTimeoutS);
 }
 
-void Cluster::submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
-                     const std::string& priority, bool spot, const std::string& zone,
-                     double run_increment_s) {
+void Deployment::submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
+                        const std::string& priority, bool spot, const std::string& zone,
+                        double run_increment_s) {
   JobHistory history;
   history.tasks = static_cast<std::uint32_t>(tasks);
   history.gang = gang;
@@ -58,7 +58,7 @@
   submit_job(std::move(history));
 }
 
-std::string Cluster::submit_service(int replicas, const std::string& team) {
+std::string Deployment::submit_service(int replicas, const std::string& team) {
   JobHistory history;
   history.tasks = static_cast<std::uint32_t>(replicas);
   history.is_service = true;
@@ -70,7 +70,7 @@
   return submit_job(std::move(history));
 }
 
-std::string Cluster::submit_job(JobHistory history) {
+std::string Deployment::submit_job(JobHistory history) {
   char id[24];
   std::snprintf(id, sizeof id, "req-%06d", next_job_++);
   history.spec["nameId"] = id;
@@ -79,9 +79,9 @@
   return id;
 }
 
-void Cluster::send_submission(const std::string& id, int tries) {
+void Deployment::send_submission(const std::string& id, int tries) {
   if (tries > kMaxTries) return;
-  const auto controller = random() % processes_.size();
+  const auto controller = random() % controller_count();
   send_request(
       controller, {"POST", "/submissions", json::serialize(jobs[id].spec)},
       [this, id, tries](std::optional<http::Response> response) {
@@ -103,10 +103,10 @@
       kRequestTimeoutS);
 }
 
-void Cluster::poll_status(const std::string& id) {
+void Deployment::poll_status(const std::string& id) {
   const auto sent = now_;
   send_request(
-      random() % processes_.size(), {"GET", "/submissions/" + id, ""},
+      random() % controller_count(), {"GET", "/submissions/" + id, ""},
       [this, id, sent](std::optional<http::Response> response) {
         auto& job = jobs[id];
         const int status = status_of(response);
@@ -128,11 +128,11 @@
       kPollTimeoutS);
 }
 
-void Cluster::cancel(const std::string& id) {
+void Deployment::cancel(const std::string& id) {
   auto& job = jobs.at(id);
   job.cancellation_requested = true;
   send_request(
-      random() % processes_.size(), {"POST", "/submissions/" + id + "/abort", ""},
+      random() % controller_count(), {"POST", "/submissions/" + id + "/abort", ""},
       [this, id](std::optional<http::Response> response) {
         auto& job = jobs[id];
         const int status = status_of(response);
--- /dev/null
+++ b/tests/soak/fault_schedule.hpp
@@ -0,0 +1,65 @@
+// The work and the faults of one seed.
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+#include "soak/real_deployment.hpp"
+
+namespace finchrun::soak {
+
+/// Draws jobs, cancellations, close questions and overlapping faults from a seed and plans them for the run.
+class FaultSchedule {
+ public:
+  FaultSchedule(RealDeployment& deployment, const Options& options, std::uint32_t seed);
+  /// Plans everything. The faults end before `Options::duration_s`.
+  void plan();
+
+ private:
+  enum class Fault {
+    kill,
+    pause,
+    refuse_by_store,
+    cut_from_store,
+    cut_from_store_and_peers,
+    hold_peer_links,
+    reset_peer_links,
+    stop_the_store,
+    restart_machine,
+    hang_machine,
+    mute_machine,
+    deaf_machine,
+    remove_machine,
+    lend_unlisted_machine,
+    refuse_starts,
+    refuse_deletions,
+    old_lists,
+    preempt_and_cancel,
+    kill_in_series,
+    count,
+  };
+  void plan_work();
+  void submit_a_job();
+  void look_closely();
+  void cancel_a_job();
+  void plan_network_faults();
+  void inject(Fault fault);
+  void inject_controller_fault(Fault fault);
+  void inject_machine_fault(Fault fault);
+  void stop_the_store();
+  void cut(std::size_t controller, bool from_peers);
+  void refuse_deletions();
+  void block_machine(bool sim::Agent::*direction, const char* name);
+
+  [[nodiscard]] double random_s(double from_s, double to_s);
+  [[nodiscard]] std::size_t pick(std::size_t size) { return random_() % size; }
+  void at_random_time(std::function<void()> action);
+  [[nodiscard]] sim::Agent* busy_agent();
+  [[nodiscard]] std::size_t leader_or_any();
+
+  RealDeployment& deployment_;
+  const Options& options_;
+  std::mt19937 random_;
+};
+
+}  // namespace finchrun::soak
