--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "metrics/metrics.hpp"
+
 namespace finchrun::agent {
 namespace {
 
@@ -222,6 +224,7 @@
     if (item.assignment.agent_incarnation != heartbeat_.agent_incarnation) return;
     // The agent may replace an ended attempt of the task, and so forget it.
     if (!supersede(machine_.direct_starts.token_of_other_attempts(attempt))) return;
+    metrics::count_start("heartbeat");
     result_.commands.push_back({Command::Kind::start, context_.names.jobs.name(item.job),
                                 item.assignment.task, item.assignment.attempt, 0});
   }
@@ -277,6 +280,7 @@
   }
 
   void log_unrecorded(const TaskStatus& status) const {
+    metrics::count_unrecorded_task();
     spdlog::warn(
         "task not recorded job={} task={} attempt={} machine={} agent_fencing_token={} fencing_token={}",
         status.job, status.task, status.attempt, machine_.name, heartbeat_.fencing_token,
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -23,7 +23,7 @@
           runtime_, state_, store_, peers_, settings_,
           [this](const std::string& heartbeat) { return agent_gateway_.handle_heartbeat(heartbeat); }),
       jobs_(state_, store_, follower_, peers_, peer_service_),
-      router_(jobs_, agent_gateway_),
+      router_(state_, jobs_, agent_gateway_),
       write_fences_(state_, store_, follower_),
       placement_recorder_(state_, store_, follower_, commands_, runtime_, write_fences_),
       exit_recorder_(state_, store_, follower_, write_fences_),
--- a/src/assignments/placement_plan.cpp
+++ b/src/assignments/placement_plan.cpp
@@ -43,12 +43,12 @@
     transaction.starts[assignment.machine].push_back({placement.job, assignment.task, assignment.attempt});
     const auto* machine = state.fleet.find(assignment.machine);
     transaction.log_lines.push_back(fmt::format(
-        "task placed job={} task={} attempt={} machine={} partition={} fencing_token={} weight={:.3f} "
-        "image={} image_cached={}",
+        "task placed job={} task={} attempt={} machine={} agent_incarnation={} partition={} fencing_token={} "
+        "revision={} weight={:.3f} image={} image_cached={}",
         state.names.jobs.name(placement.job), assignment.task, assignment.attempt,
-        state.names.machines.name(assignment.machine), state.names.partitions.name(placement.partition),
-        placement.fencing_token, placement.weight, state.names.images.name(image),
-        machine && machine->has_image(image)));
+        state.names.machines.name(assignment.machine), assignment.agent_incarnation,
+        state.names.partitions.name(placement.partition), placement.fencing_token, state.cache.revision(),
+        placement.weight, state.names.images.name(image), machine && machine->has_image(image)));
   }
 }
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -144,6 +144,19 @@
   return decisions;
 }
 
+void Leadership::log_new_leader(const ControllerState& state, core::PartitionId partition,
+                                core::TimePoint now) {
+  logged_tokens_.resize(state.partitions.size());
+  const auto& record = state.cache.leadership(partition);
+  auto& logged = logged_tokens_[partition.index];
+  if (logged == record.revision) return;
+  logged = record.revision;
+  spdlog::info(
+      "leader seen partition={} leader={} incarnation={} fencing_token={} revision={} state_age_s={:.2f}",
+      state.names.partitions.name(partition), record.leader, record.incarnation, record.revision,
+      state.cache.revision(), core::seconds_between(state.synchronized_at, now));
+}
+
 std::optional<LeadershipSnapshot> Leadership::take_snapshot(ControllerState& state, core::TimePoint now) {
   if (!state.cache_loaded || state.incarnation == 0 || state.store_lease == 0) return std::nullopt;
   if (core::seconds_between(state.synchronized_at, now) > kMaxViewAgeS) return std::nullopt;
@@ -159,6 +172,7 @@
   for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
     const core::PartitionId partition{index};
     const auto status = leader_status(state, partition);
+    log_new_leader(state, partition, now);
     if (!state.leads(partition)) state.leading_since[index] = now;
     auto& missing_since = state.leader_missing_since[index];
     if (status == LeaderStatus::this_process || status == LeaderStatus::alive) missing_since = {};
--- a/src/coordination/leadership.hpp
+++ b/src/coordination/leadership.hpp
@@ -81,6 +81,9 @@
   /// Returns the input of `decide_leadership`; nullopt while the state cache is too old or this process is
   /// no member. Updates since when leaders are missing and other controllers are alive.
   std::optional<LeadershipSnapshot> take_snapshot(controller::ControllerState& state, core::TimePoint now);
+  /// Logs each leadership record once, with the revision and the age of the view in which it was read.
+  void log_new_leader(const controller::ControllerState& state, core::PartitionId partition,
+                      core::TimePoint now);
   asio::awaitable<void> acquire(AcquireLeadership decision);
   asio::awaitable<void> transfer(TransferLeadership decision);
 
@@ -88,6 +91,7 @@
   controller::SharedState& state_;
   StateFollower& follower_;
   std::map<std::string, core::TimePoint> alive_since_;  // by label of another controller
+  std::vector<std::uint64_t> logged_tokens_;            // by partition: of the record that was logged last
 };
 
 }  // namespace finchrun::coordination
--- a/src/gateway/agent_commands.cpp
+++ b/src/gateway/agent_commands.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "metrics/metrics.hpp"
+
 namespace finchrun::gateway {
 
 namespace {
@@ -37,8 +39,10 @@
   supersede_earlier_attempts(state, *machine, commands, starts);
   if (commands.empty()) return std::nullopt;
   const auto address = address_of(state, id);
-  for (const auto& start : starts)
+  for (const auto& start : starts) {
     machine->direct_starts.record(start, address->fencing_token, address->agent_incarnation, now);
+    metrics::count_start("direct");
+  }
   return address;
 }
 
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/responses.hpp"
 #include "gateway/routes.hpp"
+#include "metrics/metrics.hpp"
 
 namespace finchrun::gateway {
 
@@ -31,6 +32,8 @@
     case Endpoint::readiness:
       if (!jobs_.is_ready()) co_return retry_later("no news from the state service");
       co_return http::Response{http::status::kOk, "{}"};
+    case Endpoint::metrics:
+      co_return metrics_page();
     case Endpoint::submit:
       co_return co_await jobs_.submit(std::move(request.body));
     case Endpoint::query:
@@ -41,4 +44,19 @@
   co_return response_to(RouteError::no_such_path);
 }
 
+http::Response Router::metrics_page() {
+  state_.with([](const controller::ControllerState& state) {
+    metrics::set_state(state.cache.revision(),
+                       core::seconds_between(state.synchronized_at, core::SteadyClock::now()));
+    for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
+      const core::PartitionId partition{index};
+      metrics::set_fencing_token(state.names.partitions.name(partition),
+                                 state.leads(partition) ? state.fencing_token(partition) : 0);
+    }
+  });
+  http::Response page{http::status::kOk, metrics::render()};
+  page.content_type = metrics::kContentType;
+  return page;
+}
+
 }  // namespace finchrun::gateway
--- a/src/gateway/router.hpp
+++ b/src/gateway/router.hpp
@@ -6,15 +6,19 @@
 
 namespace finchrun::gateway {
 
-/// The HTTP interface for users, agents and the load balancer's health checks.
+/// The HTTP interface for users, agents, the load balancer's health checks and the operators' monitoring.
 class Router {
  public:
-  Router(JobApi& jobs, AgentGateway& agent_gateway) : jobs_(jobs), agent_gateway_(agent_gateway) {}
+  Router(controller::SharedState& state, JobApi& jobs, AgentGateway& agent_gateway)
+      : state_(state), jobs_(jobs), agent_gateway_(agent_gateway) {}
 
   /// Answers a request, with 404 or 405 if no component handles it.
   asio::awaitable<http::Response> handle(http::Request request);
 
  private:
+  http::Response metrics_page();
+
+  controller::SharedState& state_;
   JobApi& jobs_;
   AgentGateway& agent_gateway_;
 };
--- a/src/gateway/routes.cpp
+++ b/src/gateway/routes.cpp
@@ -10,12 +10,14 @@
 
 constexpr std::string_view kHeartbeatPath = "/hello";
 constexpr std::string_view kReadinessPath = "/up";
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::string_view kJobsPath = "/submissions";
 constexpr std::string_view kJobPrefix = "/submissions/";
 constexpr std::string_view kCancelSuffix = "/abort";
 
 std::string_view method_of(Endpoint endpoint) {
-  const bool reads = endpoint == Endpoint::readiness || endpoint == Endpoint::query;
+  const bool reads =
+      endpoint == Endpoint::readiness || endpoint == Endpoint::metrics || endpoint == Endpoint::query;
   return reads ? "GET" : "POST";
 }
 
@@ -23,6 +25,7 @@
 std::optional<Route> route_of(std::string_view path) {
   if (path == kHeartbeatPath) return Route{Endpoint::heartbeat, {}};
   if (path == kReadinessPath) return Route{Endpoint::readiness, {}};
+  if (path == kMetricsPath) return Route{Endpoint::metrics, {}};
   if (path == kJobsPath) return Route{Endpoint::submit, {}};
   if (!path.starts_with(kJobPrefix)) return std::nullopt;
   auto job = path.substr(kJobPrefix.size());
--- a/src/gateway/routes.hpp
+++ b/src/gateway/routes.hpp
@@ -11,6 +11,7 @@
 enum class Endpoint {
   heartbeat,  ///< POST /hello, from agents
   readiness,  ///< GET /up, from the load balancer
+  metrics,    ///< GET /metrics, from the operators' monitoring
   submit,     ///< POST /submissions, from users
   query,      ///< GET /submissions/<job>
   cancel,     ///< POST /submissions/<job>/abort
--- a/tests/assignments/recorder_plans_test.cpp
+++ b/tests/assignments/recorder_plans_test.cpp
@@ -81,8 +81,8 @@
   EXPECT_EQ(batch.transaction.starts.begin()->second,
             (std::vector<agent::TaskAttempt>{{job, 0, kAttempt}, {job, 1, kAttempt}}));
   EXPECT_EQ(batch.transaction.log_lines[0],
-            "task placed job=req-1 task=0 attempt=9 machine=host-100000 partition=a.0 fencing_token=40 "
-            "weight=0.500 image=img image_cached=false");
+            "task placed job=req-1 task=0 attempt=9 machine=host-100000 agent_incarnation=5 partition=a.0 "
+            "fencing_token=40 revision=40 weight=0.500 image=img image_cached=false");
 }
 
 TEST_F(PlanPlacements, SkipsPlacementsDecidedOnStaleRecords) {
--- a/tests/gateway/routes_test.cpp
+++ b/tests/gateway/routes_test.cpp
@@ -25,6 +25,8 @@
                     RouteCase{"GET", "/up", Route{Endpoint::readiness, ""}},
                     RouteCase{"GET", "/up?from=balancer", Route{Endpoint::readiness, ""}},
                     RouteCase{"POST", "/up", RouteError::method_not_allowed},
+                    RouteCase{"GET", "/metrics", Route{Endpoint::metrics, ""}},
+                    RouteCase{"POST", "/metrics", RouteError::method_not_allowed},
                     RouteCase{"POST", "/submissions", Route{Endpoint::submit, ""}},
                     RouteCase{"GET", "/submissions", RouteError::method_not_allowed},
                     RouteCase{"GET", "/submissions/req-1", Route{Endpoint::query, "req-1"}},
