Starts: an attempt that counts as gone is started no more, by any path or term

What callers saw: a task could run on two machines. An attempt that had counted as gone was started once more on its machine, beside the task's next attempt.

Cause: "may this attempt be started" was told in three places. The answer to a heartbeat under an earlier token, a direct command, and one that is sent again after a raised token had overtaken it did not ask whether the attempt counted as gone. And an observed exit stayed in memory over a change of leadership and back, though the leader in between does not know of it and may have started the attempt again.

Evidence: red on: HeartbeatHandler.DoesNotStartAnAttemptAgainThatCountsAsGone, DirectStarts/attempt_counts_as_gone, ControllerState.ForgetsAnUnrecordedExitOfAnEarlierTermOfItsOwn.

Change: `agent::find_start_refusal` decides for all paths. An observed exit carries its proof and the fencing token of its term, and is dropped in any other; agents and lists show it again. Each end without a shown exit has a line (`task gone`, with its proof). The invariant is checked on every message: an attempt on its machine after it counted as gone is an `error` line and a counter, and counts as present again.

Why it works: an exit counts only within one term, and within a term all starts ask for it.

--- a/src/agent/fleet.hpp
+++ b/src/agent/fleet.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -19,15 +20,43 @@
 
 namespace finchrun::agent {
 
+/// What proves that an attempt is gone from its machine (docs/design.md, "Why the rules hold", 3).
+enum class ExitProof {
+  shown_ended,  ///< a message of its agent shows the end
+  absent,  ///< a heartbeat under this leader's fencing token lacks it, and no start of it can be executed
+  later_incarnation,  ///< a message comes from a later incarnation of its agent
+  machine_deleted,    ///< the cloud has confirmed the deletion of its machine
+  machine_not_listed  ///< the cloud's list shows that its machine is gone
+};
+const char* name_of(ExitProof proof);
+
 /// A task attempt that is certainly not on its machine any more, while the key-value store still has its
-/// assignment. Detected by the rules of docs/design.md "When a task is gone"; kept until the end is recorded.
+/// assignment. Detected by the rules of docs/design.md "When a task is gone"; kept until the end is recorded,
+/// and no longer than the term of leadership in which it was observed.
 struct ObservedExit {
   core::JobId job;
   core::PartitionId partition;  ///< of the assignment's record
   std::uint32_t task = 0;
   std::uint64_t attempt = 0;
   bool done = false;  ///< the task has completed; otherwise it runs again while its job is live
-  auto operator<=>(const ObservedExit&) const = default;
+  /// The partition's fencing token when the exit was observed. Under a later one the attempt may have been
+  /// started again by another leader, which did not know of the exit.
+  std::uint64_t fencing_token = 0;
+  ExitProof proof = ExitProof::shown_ended;
+
+  /// Compares what identifies the exit: neither the fencing token nor the proof.
+  friend auto operator<=>(const ObservedExit& left, const ObservedExit& right) {
+    return left.identity() <=> right.identity();
+  }
+  friend bool operator==(const ObservedExit& left, const ObservedExit& right) {
+    return left.identity() == right.identity();
+  }
+
+ private:
+  [[nodiscard]] std::tuple<core::JobId, core::PartitionId, std::uint32_t, std::uint64_t, bool> identity()
+      const {
+    return {job, partition, task, attempt, done};
+  }
 };
 
 /// A stop command that is sent directly to the agent and repeated until the task is proved gone.
@@ -59,6 +88,10 @@
   [[nodiscard]] const cloud::MachineType* machine_type(core::MachineTypeId id) const;
 
   std::set<ObservedExit> observed_exits;
+  /// Adds the exit, in place of an observation of an earlier term. Returns true if it is new in this term.
+  bool observe_exit(const ObservedExit& exit);
+  /// Drops the observation that the assigned attempt has ended.
+  void withdraw_exit(core::JobId job, core::PartitionId partition, const jobs::TaskAssignment& assignment);
   /// Returns true if the assigned attempt is known to be gone from its machine, completed or not.
   [[nodiscard]] bool has_ended(core::JobId job, core::PartitionId partition,
                                const jobs::TaskAssignment& assignment) const;
--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "agent/start_permission.hpp"
 #include "metrics/metrics.hpp"
 
 namespace finchrun::agent {
@@ -47,21 +48,6 @@
   return {item.job, item.assignment.task, item.assignment.attempt};
 }
 
-/// Returns the exit of the assigned attempt, not completed.
-ObservedExit exit_of(const MachineAssignment& item) {
-  return {item.job, item.partition, item.assignment.task, item.assignment.attempt, false};
-}
-
-/// Returns true if the task is recorded as completed in any partition. Replicas of a service never are.
-bool is_done(const state::StateCache& cache, const jobs::JobRecord& job, core::JobId id, std::uint32_t task) {
-  if (job.spec.is_service()) return false;
-  bool done = false;
-  cache.for_each_assignments(id, [&](core::PartitionId, const jobs::JobAssignments& assignments) {
-    done = done || assignments.done.contains(task);
-  });
-  return done;
-}
-
 /// Handles one heartbeat.
 class HeartbeatHandler {
  public:
@@ -137,7 +123,8 @@
 
   void handle_assignment(const MachineAssignment& item) {
     // Rule 3: a later incarnation of the agent holds no task of an earlier one.
-    if (item.assignment.agent_incarnation < heartbeat_.agent_incarnation) return observe_exit(exit_of(item));
+    if (item.assignment.agent_incarnation < heartbeat_.agent_incarnation)
+      return observe_exit(item, ExitProof::later_incarnation);
     const auto* job = context_.cache.job(item.job);
     const bool live = job && job->status == jobs::Status::live;
     const auto* status = status_of(item);
@@ -145,8 +132,9 @@
       use_image(job->spec);
     if (status && status->state == TaskState::ended)
       return handle_exit(item, *status, live && job->spec.is_service());
-    const bool unwanted = is_unwanted(item, live ? job : nullptr);
+    const bool unwanted = is_unwanted(context_.cache, context_.fleet, attempt_of(item));
     if (!status) return handle_missing(item, unwanted);
+    check_not_counted_as_gone(item, *status);
     if (context_.fleet.confirmed_starts.try_emplace(attempt_of(item), context_.now).second && is_trusted())
       machine_.mark_reachable();
     if (unwanted) stop(item, *status, live);
@@ -170,21 +158,13 @@
     machine_.use_image(spec.image, spec.image_gb, type ? std::optional(type->cache_gb) : std::nullopt);
   }
 
-  /// Returns true if the task should not run: it is preempted or recorded as done, its gang's attempt is
-  /// broken, or its job is not live (`job` is null).
-  [[nodiscard]] bool is_unwanted(const MachineAssignment& item, const jobs::JobRecord* job) const {
-    return !job || context_.fleet.preempting.contains(attempt_of(item)) ||
-           is_gang_broken(*job, context_.cache, context_.fleet, item.job) ||
-           is_done(context_.cache, *job, item.job, item.assignment.task);
-  }
-
   /// Handles an assigned task that the heartbeat shows as ended (rule 3).
   void handle_exit(const MachineAssignment& item, const TaskStatus& status, bool is_replica) {
     supersede_start(attempt_of(item));
-    auto observed_exit = exit_of(item);
+    auto observed_exit = exit_of(item, ExitProof::shown_ended);
     // A replica runs again, whatever the cause of its end.
     observed_exit.done = status.cause == ExitCause::done && !is_replica;
-    if (!context_.fleet.observed_exits.insert(observed_exit).second) return;
+    if (!context_.fleet.observe_exit(observed_exit)) return;
     result_.exits_observed = true;
     spdlog::info(
         "task ended job={} task={} attempt={} machine={} reason={} checkpoint_saved={} "
@@ -216,12 +196,12 @@
     const auto attempt = attempt_of(item);
     if (is_trusted() && !context_.is_direct_answer &&
         (unwanted || context_.fleet.confirmed_starts.contains(attempt))) {
-      if (!may_still_start(attempt)) return observe_exit(exit_of(item));
+      if (!may_still_start(attempt)) return observe_exit(item, ExitProof::absent);
       supersede_start(attempt);  // the next heartbeat then proves the absence
       return;
     }
-    if (unwanted || !context_.starts_allowed) return;
-    if (item.assignment.agent_incarnation != heartbeat_.agent_incarnation) return;
+    if (!context_.starts_allowed) return;
+    if (find_start_refusal(context_.cache, context_.fleet, machine_, attempt)) return;
     // The agent may replace an ended attempt of the task, and so forget it.
     if (!supersede(machine_.direct_starts.token_of_other_attempts(attempt))) return;
     metrics::count_start("heartbeat");
@@ -287,8 +267,41 @@
         machine_.command_token(context_.tokens));
   }
 
-  void observe_exit(const ObservedExit& observed_exit) {
-    result_.exits_observed |= context_.fleet.observed_exits.insert(observed_exit).second;
+  /// Returns the exit of the assigned attempt, not completed.
+  [[nodiscard]] ObservedExit exit_of(const MachineAssignment& item, ExitProof proof) const {
+    return {item.job,
+            item.partition,
+            item.assignment.task,
+            item.assignment.attempt,
+            false,
+            context_.tokens.of_partition,
+            proof};
+  }
+
+  void observe_exit(const MachineAssignment& item, ExitProof proof) {
+    if (!context_.fleet.observe_exit(exit_of(item, proof))) return;
+    result_.exits_observed = true;
+    spdlog::info(
+        "task gone job={} task={} attempt={} machine={} proof={} assigned_incarnation={} "
+        "agent_incarnation={} "
+        "sequence={} agent_fencing_token={} fencing_token={}",
+        context_.names.jobs.name(item.job), item.assignment.task, item.assignment.attempt, machine_.name,
+        name_of(proof), item.assignment.agent_incarnation, heartbeat_.agent_incarnation, heartbeat_.sequence,
+        heartbeat_.fencing_token, context_.tokens.of_partition);
+  }
+
+  /// Checks the invariant that an attempt that counts as gone is on no machine. If it is broken, the attempt
+  /// counts as present again, so that its task is not started elsewhere unless that has happened already.
+  void check_not_counted_as_gone(const MachineAssignment& item, const TaskStatus& status) {
+    if (!context_.fleet.has_ended(item.job, item.partition, item.assignment)) return;
+    metrics::count_violation("present_after_exit");
+    spdlog::error(
+        "invariant violated rule=ran_twice job={} task={} attempt={} machine={} state=present_after_exit "
+        "agent_incarnation={} sequence={} agent_fencing_token={} fencing_token={} direct_answer={}",
+        status.job, status.task, status.attempt, machine_.name, heartbeat_.agent_incarnation,
+        heartbeat_.sequence, heartbeat_.fencing_token, context_.tokens.of_partition,
+        context_.is_direct_answer);
+    context_.fleet.withdraw_exit(item.job, item.partition, item.assignment);
   }
 
   const HeartbeatContext& context_;
@@ -314,23 +327,18 @@
   retry_at = now + core::to_duration(std::min(kMaxBackoffS, 2.0 * static_cast<double>(backoff_factor)));
 }
 
-bool is_gang_broken(const jobs::JobRecord& job, const state::StateCache& cache, const Fleet& fleet,
-                    core::JobId id) {
-  if (!job.spec.is_gang()) return false;
-  std::size_t placed = 0;
-  bool lost = false;
-  cache.for_each_assignments(
-      id, [&](core::PartitionId partition, const jobs::JobAssignments& job_assignments) {
-        placed += job_assignments.assignments.size();
-        for (const auto& assignment : job_assignments.assignments)
-          lost = lost ||
-                 fleet.observed_exits.contains({id, partition, assignment.task, assignment.attempt, false});
-      });
-  return lost || placed != job.spec.tasks;
-}
-
-void mark_assignments_ended(const state::StateCache& cache, Fleet& fleet, core::MachineId id) {
-  for (const auto& item : cache.on_machine(id)) fleet.observed_exits.insert(exit_of(item));
+void mark_assignments_ended(const jobs::Names& names, const state::StateCache& cache, Fleet& fleet,
+                            core::MachineId id, ExitProof proof) {
+  for (const auto& item : cache.on_machine(id)) {
+    const auto fencing_token = cache.leadership(item.partition).revision;
+    const auto& assignment = item.assignment;
+    if (!fleet.observe_exit(
+            {item.job, item.partition, assignment.task, assignment.attempt, false, fencing_token, proof}))
+      continue;
+    spdlog::info("task gone job={} task={} attempt={} machine={} proof={} fencing_token={}",
+                 names.jobs.name(item.job), assignment.task, assignment.attempt, names.machines.name(id),
+                 name_of(proof), fencing_token);
+  }
 }
 
 HeartbeatResult handle_heartbeat(HeartbeatContext context, Machine& machine,
--- a/src/agent/heartbeat_handler.hpp
+++ b/src/agent/heartbeat_handler.hpp
@@ -55,12 +55,8 @@
 HeartbeatResult handle_heartbeat(HeartbeatContext context, Machine& machine,
                                  const wire::Heartbeat& heartbeat);
 
-/// Returns true if the gang's attempt has lost a task in any partition. Its remaining tasks must end before
-/// the next attempt.
-bool is_gang_broken(const jobs::JobRecord& job, const state::StateCache& cache, const Fleet& fleet,
-                    core::JobId id);
-
 /// Marks all assignments on the machine as ended, once it is proved gone.
-void mark_assignments_ended(const state::StateCache& cache, Fleet& fleet, core::MachineId id);
+void mark_assignments_ended(const jobs::Names& names, const state::StateCache& cache, Fleet& fleet,
+                            core::MachineId id, ExitProof proof);
 
 }  // namespace finchrun::agent
--- a/src/autoscaling/machine_inventory.cpp
+++ b/src/autoscaling/machine_inventory.cpp
@@ -64,7 +64,8 @@
     if (!state.leads(partition)) return;
     // The placement was in flight when the machine was released, so its tasks are gone too.
     if (state.fleet.deleted_machines.contains(id))
-      return agent::mark_assignments_ended(state.cache, state.fleet, id);
+      return agent::mark_assignments_ended(state.names, state.cache, state.fleet, id,
+                                           agent::ExitProof::machine_deleted);
     if (state.fleet.find(id)) return;
     // The machine disappeared while the partition had no leader: it is recorded, but not listed and
     // without heartbeats. Its deletion must be requested, or its tasks stay assigned forever.
--- a/src/autoscaling/machine_release.cpp
+++ b/src/autoscaling/machine_release.cpp
@@ -10,8 +10,8 @@
 using agent::Machine;
 using controller::ControllerState;
 
-void mark_gone(ControllerState& state, Machine& machine) {
-  agent::mark_assignments_ended(state.cache, state.fleet, machine.id);
+void mark_gone(ControllerState& state, Machine& machine, agent::ExitProof proof) {
+  agent::mark_assignments_ended(state.names, state.cache, state.fleet, machine.id, proof);
   state.fleet.deleted_machines.insert(machine.id);
   machine.deleted = true;
   machine.has_heartbeat = false;
@@ -49,7 +49,7 @@
   auto* machine = state.fleet.find(decision.machine);
   if (!machine) return;
   spdlog::info("scale in machine={} reason={}", decision.name, name_of(decision.reason));
-  mark_gone(state, *machine);
+  mark_gone(state, *machine, agent::ExitProof::machine_deleted);
 }
 
 void fail_release(ControllerState& state, const ScaleInDecision& decision, cloud::Error error,
@@ -95,7 +95,7 @@
         if (!proves_gone(list, machine->listed, seen, state.settings)) return;
         spdlog::info("machine gone machine={} reason=not_listed last_seen_s={:.0f} tasks={}", machine->name,
                      core::seconds_between(seen, now), assignments.size());
-        mark_gone(state, *machine);
+        mark_gone(state, *machine, agent::ExitProof::machine_not_listed);
       });
 }
 
--- a/src/controller/controller_state.cpp
+++ b/src/controller/controller_state.cpp
@@ -149,6 +149,7 @@
   for (auto it = fleet.observed_exits.begin(); it != fleet.observed_exits.end();) {
     const auto& exit = *it;
     const bool still_to_record = holds_leadership(exit.partition) &&
+                                 exit.fencing_token == fencing_token(exit.partition) &&
                                  cache.has_assignment(exit.job, exit.partition, exit.task, exit.attempt);
     if (still_to_record) {
       ++it;
--- a/src/controller/controller_state.hpp
+++ b/src/controller/controller_state.hpp
@@ -197,8 +197,8 @@
   /// been cancelled (rule `ran_cancelled`).
   agent::HeartbeatResult apply_heartbeat(agent::Machine& machine, const wire::Heartbeat& heartbeat,
                                          core::TimePoint now, bool is_direct_answer);
-  /// Drops observed exits that have been recorded, or whose partition another controller leads, with the
-  /// other state of these attempts. Their direct starts are kept while the agent may still execute them.
+  /// Drops observed exits that have been recorded or belong to an earlier term of leadership, with the other
+  /// state of these attempts. Their direct starts are kept while the agent may still execute them.
   void drop_recorded_exits();
 
   // Jobs.
--- a/src/gateway/direct_commands.cpp
+++ b/src/gateway/direct_commands.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <tuple>
 
+#include "agent/start_permission.hpp"
 #include "gateway/responses.hpp"
+#include "metrics/metrics.hpp"
 
 namespace finchrun::gateway {
 
@@ -35,20 +37,16 @@
          !machine.terminating && !machine.deleted;
 }
 
-// Returns true if the start is recorded for the agent's current incarnation, and its job is live.
-bool is_still_valid(const ControllerState& state, const agent::Machine& machine,
-                    const agent::TaskAttempt& start) {
+// Returns true if the start may be sent now. Logs why not.
+bool may_be_sent(const ControllerState& state, const agent::Machine& machine,
+                 const agent::TaskAttempt& start) {
+  const auto refusal = agent::find_start_refusal(state.cache, state.fleet, machine, start);
+  if (!refusal) return true;
+  metrics::count_refused_start(agent::name_of(*refusal));
   const auto [job, task, attempt] = start;
-  const auto* record = state.cache.job(job);
-  // A task of a job cancelled since the placement would run after the cancellation was confirmed to its user.
-  if (!record || record->status != jobs::Status::live) return false;
-  // The agent may be in a newer incarnation since the placement was recorded. The command would start a task
-  // in that incarnation whose assignment the same incarnation proves to be gone.
-  const auto& assignments = state.cache.on_machine(machine.id);
-  const jobs::TaskAssignment recorded{task, attempt, machine.id, machine.agent_incarnation};
-  return std::any_of(assignments.begin(), assignments.end(), [&, job = job](const auto& placed) {
-    return placed.job == job && placed.assignment == recorded;
-  });
+  spdlog::info("start not sent job={} task={} attempt={} machine={} reason={}", state.names.jobs.name(job),
+               task, attempt, machine.name, agent::name_of(*refusal));
+  return false;
 }
 
 // Erases the starts for which the predicate is true, with their commands.
@@ -138,7 +136,7 @@
                       std::vector<wire::Command>& commands, std::vector<agent::TaskAttempt>& starts) {
   const bool suspended = direct_starts_suspended(machine, now);
   erase_starts(state, commands, starts, [&](const agent::TaskAttempt& start) {
-    return suspended || !is_still_valid(state, machine, start);
+    return suspended || !may_be_sent(state, machine, start);
   });
 }
 
--- a/tests/agent/heartbeat_handler_test.cpp
+++ b/tests/agent/heartbeat_handler_test.cpp
@@ -15,7 +15,7 @@
 using wire::TaskState;
 
 // One partition, one machine "m" in incarnation 2, and one assignment: task 0, attempt 7 on "m". The
-// partition's fencing token is 50; `available_token` is the highest that its leader may use.
+// partition's fencing token is 50 at first; `available_token` is the highest that its leader may use.
 struct Fixture {
   explicit Fixture(bool gang = false, std::uint32_t tasks = 1) : cache(add_names(names), 1, 1) {
     state::KeyUpdate job{"jobs/req-1", std::nullopt, 40};
@@ -59,7 +59,7 @@
     message.fencing_token = fencing_token;
     message.tasks = std::move(tasks);
     return handle_heartbeat(
-        {names, cache, fleet, job_failures, {50, available_token}, now, 10, starts_allowed, is_direct_answer},
+        {names, cache, fleet, job_failures, {partition_token, available_token}, now, 10, starts_allowed, is_direct_answer},
         *machine, message);
   }
   jobs::Names names;
@@ -68,6 +68,7 @@
   std::unordered_map<core::JobId, JobFailures> job_failures;
   core::TimePoint now{core::to_duration(1000)};
   Machine* machine = nullptr;
+  std::uint64_t partition_token = 50;  // of this leadership
   std::uint64_t available_token = 50;
 };
 
@@ -259,6 +260,16 @@
   EXPECT_EQ(fixture.fleet.observed_exits.size(), 1u);
 }
 
+// Its end is not recorded yet, and the partition has a new fencing token that the agent does not know.
+TEST(HeartbeatHandler, DoesNotStartAnAttemptAgainThatCountsAsGone) {
+  Fixture fixture;
+  fixture.heartbeat(2, 10, 50, {task_status(7, TaskState::running)});
+  fixture.heartbeat(2, 11, 50, {});
+  ASSERT_EQ(fixture.fleet.observed_exits.size(), 1u);
+  fixture.partition_token = fixture.available_token = 55;
+  EXPECT_TRUE(fixture.heartbeat(2, 12, 50, {}).commands.empty());
+}
+
 TEST(HeartbeatHandler, ForgetsAttemptOnlyOnceItsEndIsRecorded) {
   Fixture fixture;
   EXPECT_TRUE(
@@ -418,7 +429,8 @@
 
 TEST(HeartbeatHandler, DeletedMachineEndsItsAssignments) {
   Fixture fixture;
-  mark_assignments_ended(fixture.cache, fixture.fleet, fixture.machine->id);
+  mark_assignments_ended(fixture.names, fixture.cache, fixture.fleet, fixture.machine->id,
+                         ExitProof::machine_deleted);
   EXPECT_EQ(fixture.fleet.observed_exits.size(), 1u);
 }
 
--- a/tests/assignments/write_fences_test.cpp
+++ b/tests/assignments/write_fences_test.cpp
@@ -178,7 +178,8 @@
     assigned.assignments = {{0, 9, state.names.machines.intern("host-1"), 1}};
     boost::json::object stored{{"req-1", jobs::to_json(assigned, state.names)}};
     state.cache.apply({"runs/a.0/0", boost::json::object{{"jobs", std::move(stored)}}, 42});
-    state.fleet.observed_exits.insert({*state.names.jobs.find("req-1"), kPartition, 0, 9, true});
+    state.fleet.observed_exits.insert(
+        {*state.names.jobs.find("req-1"), kPartition, 0, 9, true, state.fencing_token(kPartition)});
   });
   const auto flush = [&] {
     sim::run_to_completion([&]() -> asio::awaitable<bool> {
--- a/tests/controller/controller_state_test.cpp
+++ b/tests/controller/controller_state_test.cpp
@@ -165,6 +165,29 @@
       << "leadership record of another process with the same label";
 }
 
+// Another controller led the partition in between, and may have started the attempt again.
+TEST(ControllerState, ForgetsAnUnrecordedExitOfAnEarlierTermOfItsOwn) {
+  SinglePartition leader;
+  auto& state = leader.state;
+  const auto job = leader.job("req-1", 1, false);
+  jobs::JobAssignments assigned;
+  assigned.assignments = leader.assignments(1, 7);
+  state.cache.apply(
+      {"runs/a.0/0",
+       boost::json::object{{"jobs", boost::json::object{{"req-1", jobs::to_json(assigned, state.names)}}}},
+       55});
+  state.fleet.observed_exits.insert(
+      {job, leader.partition, 0, 7, false, state.fencing_token(leader.partition)});
+  state.drop_recorded_exits();
+  EXPECT_EQ(state.fleet.observed_exits.size(), 1u) << "of the present term";
+  state.cache.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-1","inc":3})"), 60});
+  state.cache.apply({"parts/a.0", boost::json::parse(R"({"owner":"perch-0","inc":7})"), 70});
+  state.cache.synchronized(70);
+  ASSERT_TRUE(state.leads(leader.partition));
+  state.drop_recorded_exits();
+  EXPECT_TRUE(state.fleet.observed_exits.empty());
+}
+
 struct SchedulableCase {
   const char* name;
   std::function<void(agent::Machine&)> change;
--- a/tests/gateway/agent_decisions_test.cpp
+++ b/tests/gateway/agent_decisions_test.cpp
@@ -187,6 +187,13 @@
              [](Leader& leader) { leader.assign(leader.job_id, leader.assignments(1, 8)); }, false},
         Case{"agent_in_a_newer_incarnation", [](Leader& leader) { leader.machine->agent_incarnation = 2; },
              false},
+        // A command that a raised token has overtaken is sent again, and the attempt may count as gone by
+        // then.
+        Case{"attempt_counts_as_gone",
+             [](Leader& leader) {
+               leader.state.fleet.observed_exits.insert({leader.job_id, leader.partition, 0, 7, false});
+             },
+             false},
         Case{"direct_command_unanswered_recently",
              [](Leader& leader) { leader.machine->direct_command_failed_at = ago(19); }, false},
         Case{"direct_command_unanswered_long_ago",
@@ -261,12 +268,12 @@
   EXPECT_EQ(commands.size(), GetParam().sent ? 2u : 1u);
   EXPECT_EQ(leader.state.command_token(*leader.machine), GetParam().command_token);
 }
-INSTANTIATE_TEST_SUITE_P(Table, EarlierAttempts,
-                         testing::Values(EarlierAttemptCase{"higher_token_available", kToken, 60, true, 60},
-                                         EarlierAttemptCase{"no_higher_token_available", kToken, 40, false,
-                                                            kToken},
-                                         EarlierAttemptCase{"void_already", kToken - 1, 60, true, kToken}),
-                         kCaseName);
+INSTANTIATE_TEST_SUITE_P(
+    Table, EarlierAttempts,
+    testing::Values(EarlierAttemptCase{"higher_token_available", kToken, 60, true, 60},
+                    EarlierAttemptCase{"no_higher_token_available", kToken, 40, false, kToken},
+                    EarlierAttemptCase{"void_already", kToken - 1, 60, true, kToken}),
+    kCaseName);
 
 TEST(CommandAnswers, NoAnswerMarksOnlyTheAddressedIncarnationUnreachable) {
   Leader leader;
