Ended attempts: an end counts once no start of the attempt can be executed any more

What callers saw: rule ran_twice broke: a task ran on two machines at once.

Cause: an attempt that its agent showed as ended counted as gone at once. Its agent refuses copies of the direct start only while it lists the attempt. A machine that is back without its tasks, in the same incarnation, before our next message runs a copy of the start, beside the task's next attempt. The same held for an end shown before the agent obeys this leader: copies of an earlier leader's start are not refused yet. Class: what a message shows now was taken for what can still happen; had put the right question into the path of absent attempts only.

Change: an end counts once the agent obeys this leader and a token above the attempt's direct start. The token is raised with the answer to the first heartbeat that shows the attempt on its machine, so that most ends count at once. Where a task ends before that, the machine is probed within 0.3 s with the raised token (`Machine::has_unconfirmed_ends`). A raise takes the lowest token that is high enough: taking the highest one left none until the store changed.

The soak draws its faults in bursts on one machine, with copies right after a restart.

--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -70,6 +70,7 @@
     }
     update_reachability();
     record_newest();
+    machine_.has_unconfirmed_ends = false;
     bool has_assignments = false;
     for (const auto& item : context_.cache.on_machine(machine_.id)) {
       if (item.partition != machine_.partition) continue;
@@ -137,6 +138,8 @@
     check_not_counted_as_gone(item, *status);
     if (context_.fleet.confirmed_starts.try_emplace(attempt_of(item), context_.now).second && is_trusted())
       machine_.mark_reachable();
+    // The start has done its work: it is void long before the task ends.
+    if (!context_.is_direct_answer) supersede_start(attempt_of(item));
     if (unwanted) stop(item, *status, live);
   }
 
@@ -158,9 +161,16 @@
     machine_.use_image(spec.image, spec.image_gb, type ? std::optional(type->cache_gb) : std::nullopt);
   }
 
-  /// Handles an assigned task that the heartbeat shows as ended (rule 3).
+  /// Handles an assigned task that the heartbeat shows as ended (rule 3). The agent refuses copies of its
+  /// start only while it lists the attempt, and it may lose its tasks, so the end counts once the start is
+  /// void.
   void handle_exit(const MachineAssignment& item, const TaskStatus& status, bool is_replica) {
-    supersede_start(attempt_of(item));
+    const auto attempt = attempt_of(item);
+    if (!is_trusted() || may_still_start(attempt)) {
+      supersede_start(attempt);
+      machine_.has_unconfirmed_ends = true;
+      return;
+    }
     auto observed_exit = exit_of(item, ExitProof::shown_ended);
     // A replica runs again, whatever the cause of its end.
     observed_exit.done = status.cause == ExitCause::done && !is_replica;
@@ -193,9 +203,9 @@
   /// Handles an assigned task that the heartbeat does not name. Either this proves the task gone, or its
   /// start command is sent.
   void handle_missing(const MachineAssignment& item, bool unwanted) {
+    if (context_.is_direct_answer) return;
     const auto attempt = attempt_of(item);
-    if (is_trusted() && !context_.is_direct_answer &&
-        (unwanted || context_.fleet.confirmed_starts.contains(attempt))) {
+    if (is_trusted() && (unwanted || context_.fleet.confirmed_starts.contains(attempt))) {
       if (!may_still_start(attempt)) return observe_exit(item, ExitProof::absent);
       supersede_start(attempt);  // the next heartbeat then proves the absence
       return;
@@ -219,16 +229,12 @@
     return machine_.direct_starts.token_of(attempt).has_value();
   }
 
-  /// Lets the answer to this heartbeat make the attempt's direct start void. Returns false if it can't.
+  /// Lets the next message to the agent make the attempt's direct start void. Returns false if it can't.
   bool supersede_start(const TaskAttempt& attempt) {
     return supersede(machine_.direct_starts.token_of(attempt));
   }
   bool supersede(std::optional<std::uint64_t> start_token) {
-    if (!start_token) return true;
-    // An answer to a direct command gets no answer itself, and the next direct command would overtake the
-    // answer to a heartbeat.
-    if (context_.is_direct_answer) return false;
-    return machine_.raise_command_token(*start_token, context_.tokens);
+    return !start_token || machine_.raise_command_token(*start_token, context_.tokens);
   }
 
   /// Sends a stop command. A preempted task gets a grace period to save its checkpoint.
@@ -253,6 +259,7 @@
         continue;
       }
       // Once the agent has forgotten the attempt, only a higher fencing token refuses copies of its start.
+      if (context_.is_direct_answer) continue;
       const auto job = context_.names.jobs.find(status.job);
       if (job && !supersede_start({*job, status.task, status.attempt})) continue;
       result_.commands.push_back({Command::Kind::forget, status.job, status.task, status.attempt, 0});
--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -64,6 +64,9 @@
   /// none. Read it through `command_token`.
   std::uint64_t raised_token = 0;
   DirectStarts direct_starts;
+  /// The agent's newest message shows ends of assigned tasks whose starts it could still execute, if it lost
+  /// its tasks. They count once a message shows that it obeys a higher fencing token, which a probe brings.
+  bool has_unconfirmed_ends = false;
 
   // --- Whether messages of this controller reach the agent.
   /// Time of the last probe. Probes go to agents that don't know this controller's fencing token or may be
@@ -122,9 +125,11 @@
     return std::max(tokens.of_partition, raised_token);
   }
   /// Makes `command_token` higher than `superseded`, so that the agent refuses what was sent under
-  /// `superseded` once it has received a message with it. Returns false if no such token is available.
+  /// `superseded` once it has received a message with it. Takes the lowest such token, which leaves the
+  /// others for later. Returns false if none is available.
   bool raise_command_token(std::uint64_t superseded, FencingTokens tokens) {
-    if (command_token(tokens) <= superseded) raised_token = std::max(raised_token, tokens.highest_available);
+    if (command_token(tokens) <= superseded && superseded < tokens.highest_available)
+      raised_token = superseded + 1;
     return command_token(tokens) > superseded;
   }
   [[nodiscard]] bool has_image(core::ImageId image) const {
--- a/src/gateway/direct_commands.cpp
+++ b/src/gateway/direct_commands.cpp
@@ -19,6 +19,8 @@
 // Time between probes of one machine. It is shorter while the agent does not know this controller's fencing
 // token, since nothing can be proved about the machine's tasks before.
 constexpr double kProbeIntervalS = 5, kUrgentProbeIntervalS = 2.5;
+// The task's next attempt waits for this probe.
+constexpr double kConfirmingProbeIntervalS = 0.25;
 
 // Returns true for a while after a direct command got no answer. A leader that can't connect to its agents
 // still gets their heartbeats through relays. Without this pause, each direct start stayed unanswered and
@@ -37,6 +39,38 @@
          !machine.terminating && !machine.deleted;
 }
 
+// Why a machine is probed, the most urgent first.
+enum class ProbeUrgency {
+  unconfirmed_ends,  // tasks have ended there, and their next attempts wait until their starts are void
+  does_not_obey,     // nothing can be proved about its tasks before its agent knows the fencing token
+  unreachable        // or silent for longer than its lease, with tasks
+};
+
+// Returns nullopt if the machine needs no probe.
+std::optional<ProbeUrgency> probe_urgency(const ControllerState& state, const agent::Machine& machine,
+                                          core::TimePoint now) {
+  if (machine.has_unconfirmed_ends && !machine.direct_command_failed_at)
+    return ProbeUrgency::unconfirmed_ends;
+  const bool obeys = machine.has_heartbeat && machine.fencing_token >= state.fencing_token(machine.partition);
+  if (!machine.has_heartbeat && machine.status == "starting") return std::nullopt;
+  if (!obeys || machine.has_unconfirmed_ends) return ProbeUrgency::does_not_obey;
+  const bool silent = state.seconds_since_heartbeat(machine, now) > state.settings.agent_lease_s &&
+                      !state.cache.on_machine(machine.id).empty();
+  return machine.is_unreachable() || silent ? std::optional(ProbeUrgency::unreachable) : std::nullopt;
+}
+
+double probe_interval_s(ProbeUrgency urgency) {
+  switch (urgency) {
+    case ProbeUrgency::unconfirmed_ends:
+      return kConfirmingProbeIntervalS;
+    case ProbeUrgency::does_not_obey:
+      return kUrgentProbeIntervalS;
+    case ProbeUrgency::unreachable:
+      return kProbeIntervalS;
+  }
+  return kProbeIntervalS;
+}
+
 // Returns true if the start may be sent now. Logs why not.
 bool may_be_sent(const ControllerState& state, const agent::Machine& machine,
                  const agent::TaskAttempt& start) {
@@ -111,24 +145,18 @@
 }
 
 std::vector<core::MachineId> machines_to_probe(const ControllerState& state, core::TimePoint now) {
-  // In the order of probing: whether the agent obeys this controller, its last probe, its machine.
-  std::vector<std::tuple<bool, core::TimePoint, core::MachineId>> due;
+  // In the order of probing: its urgency, its last probe, its machine.
+  std::vector<std::tuple<ProbeUrgency, core::TimePoint, core::MachineId>> due;
   for (const auto& [id, machine] : state.fleet.machines()) {
     if (!can_be_probed(state, machine)) continue;
-    const bool silent = state.seconds_since_heartbeat(machine, now) > state.settings.agent_lease_s &&
-                        !state.cache.on_machine(id).empty();
-    const bool obeys =
-        machine.has_heartbeat && machine.fencing_token >= state.fencing_token(machine.partition);
-    if (obeys && !machine.is_unreachable() && !silent) continue;
-    if (!machine.has_heartbeat && machine.status == "starting") continue;
-    if (core::seconds_between(machine.last_probe, now) < (obeys ? kProbeIntervalS : kUrgentProbeIntervalS))
-      continue;
-    due.emplace_back(obeys, machine.last_probe, id);
+    const auto urgency = probe_urgency(state, machine, now);
+    if (!urgency || core::seconds_between(machine.last_probe, now) < probe_interval_s(*urgency)) continue;
+    due.emplace_back(*urgency, machine.last_probe, id);
   }
   std::sort(due.begin(), due.end());
   if (due.size() > kMaxProbesPerRound) due.resize(kMaxProbesPerRound);
   std::vector<core::MachineId> machines;
-  for (const auto& [obeys, last_probe, id] : due) machines.push_back(id);
+  for (const auto& [urgency, last_probe, id] : due) machines.push_back(id);
   return machines;
 }
 
--- a/src/gateway/direct_commands.hpp
+++ b/src/gateway/direct_commands.hpp
@@ -34,10 +34,11 @@
 
 CommandAnswer interpret_answer(const http::ClientResponse& answer);
 
-/// Returns up to 16 machines whose agents should be probed now: first those that do not know this
-/// controller's fencing token, then those with the oldest probe. Rule `ran_twice` requires that agents know
-/// the newest fencing token. A machine that has been silent for longer than its lease is probed because it
-/// may only be unable to reach the controller; a newer incarnation in its answer proves its tasks gone.
+/// Returns up to 16 machines whose agents should be probed now: first those with ends that a probe makes
+/// final, then those that do not know this controller's fencing token, then those with the oldest probe. Rule
+/// `ran_twice` requires that agents know the newest fencing token. A machine that has been silent for longer
+/// than its lease is probed because it may only be unable to reach the controller; a newer incarnation in its
+/// answer proves its tasks gone.
 std::vector<core::MachineId> machines_to_probe(const controller::ControllerState& state, core::TimePoint now);
 
 /// Removes the starts, with their commands, that must not be sent to the machine: those of jobs that are not
--- a/tests/app/repeated_commands_test.cpp
+++ b/tests/app/repeated_commands_test.cpp
@@ -113,5 +113,28 @@
                                   std::get<1>(info.param).name;
                          });
 
+// The first start is refused, and shown as ended by the answer to the direct command alone.
+TEST(RepeatedCommands, DoNotStartAnEndedAttemptOnAMachineThatHasLostItsTasks) {
+  Cluster cluster(7, 3, 2, {1, 15, 35});
+  cluster.cloud.capacity = 0;
+  cluster.run(6);
+  for (auto& [_, agent] : cluster.agents) agent.refused_starts = 1;
+  cluster.submit(1, false, 4, 20, "red", "high");
+  Agent* refusing = nullptr;
+  for (int step = 0; step < 500 && !refusing; ++step) {
+    cluster.run(0.01);
+    for_busy_agents(cluster, 1, [&](Agent& agent) { refusing = &agent; });
+  }
+  ASSERT_NE(refusing, nullptr);
+  for (auto& [_, agent] : cluster.agents) agent.refused_starts = 0;
+  refusing->outbound_blocked = true;
+  cluster.run(4);
+  EXPECT_EQ(cluster.task_starts, 1u) << "the next attempt runs elsewhere";
+  cluster.restart(*refusing, false);
+  cluster.repeat_commands();
+  cluster.run(30);
+  expect_no_violations(cluster);
+}
+
 }  // namespace
 }  // namespace finchrun::sim
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "soak/real_deployment.hpp"
 
@@ -43,6 +45,8 @@
   void look_closely();
   void cancel_a_job();
   void plan_network_faults();
+  /// Injects faults of these kinds within seconds of one another; those of machines hit the same machine.
+  void inject_burst(const std::vector<Fault>& kinds);
   void inject(Fault fault);
   void inject_controller_fault(Fault fault);
   void inject_machine_fault(Fault fault);
@@ -55,11 +59,15 @@
   [[nodiscard]] std::size_t pick(std::size_t size) { return random_() % size; }
   void at_random_time(std::function<void()> action);
   [[nodiscard]] sim::Agent* busy_agent();
+  /// Returns the machine of the present burst while it exists, else a busy one.
+  [[nodiscard]] sim::Agent* victim();
+  void restart_machine(sim::Agent& agent);
   [[nodiscard]] std::size_t leader_or_any();
 
   RealDeployment& deployment_;
   const Options& options_;
   std::mt19937 random_;
+  std::string victim_;  // name of the machine that the present burst hits
 };
 
 }  // namespace finchrun::soak
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -14,7 +14,8 @@
 namespace finchrun::soak {
 namespace {
 
-// A longer stall of the soak's own loop would end agents' leases late, which rule ran_cancelled bounds to 3 s.
+// A longer stall of the soak's own loop would end agents' leases late, which rule ran_cancelled bounds to 3
+// s.
 constexpr double kMaxStallS = 1;
 constexpr std::size_t kMaxHistoryLines = 60;
 
