--- a/tests/agent/raised_token_load_test.cpp
+++ b/tests/agent/raised_token_load_test.cpp
@@ -209,7 +209,7 @@
   const auto most_heartbeats = before.heartbeats + (machines - busy_machines) + busy_machines * half_leases;
   EXPECT_LE(after.heartbeats, most_heartbeats);
   EXPECT_EQ(after.task_ends, before.task_ends);
-  EXPECT_LE(after.ended_tasks_reported - before.ended_tasks_reported, busy_machines * half_leases);
+  EXPECT_EQ(after.ended_tasks_reported, before.ended_tasks_reported);
   EXPECT_EQ(after.unconfirmed_ends, 0u);
   EXPECT_EQ(after.refused_starts, 0u);
 }
--- a/tests/soak/options.cpp
+++ b/tests/soak/options.cpp
@@ -22,7 +22,7 @@
   CLI::App cli{
       "Runs controllers as processes among stand-ins on loopback, with faults, and checks the rules"};
   cli.add_option("--command", command, "starts a controller; its settings file is appended");
-  const auto* seed_option = cli.add_option("--seed", seed, "run this seed")->check(CLI::Range(0, 1000000));
+  cli.add_option("--seed", seed, "run this seed")->check(CLI::Range(0, 1000000));
   cli.add_option("--seeds", seeds, "run the seeds from FIRST to LAST")
       ->expected(2)
       ->excludes("--seed")
@@ -46,7 +46,6 @@
   options.command = split_words(command);
   options.first_seed = seeds.empty() ? seed : seeds[0];
   options.last_seed = seeds.empty() ? seed : seeds[1];
-  static_cast<void>(seed_option);
   return parsed;
 }
 
