--- a/tests/app/random_days_test.cpp
+++ b/tests/app/random_days_test.cpp
@@ -1,8 +1,8 @@
 // Random days with the disruptions of the incidents: chosen transactions that come late, outages of the store
 // with slow first reads, crashes, machines that no list shows, machines that are taken without notice while
 // the cloud refuses deletions, lists that lag and go back, late copies of requests that were executed and
-// answered before, and machines that are back at once without their tasks. No rule may be broken, and once
-// the disruptions are over no job may wait beside free machines.
+// answered before, and machines that are back at once without their tasks, ended ones included. No rule may
+// be broken, and once the disruptions are over no job may wait beside free machines.
 //
 // FINCHRUN_RANDOM_DAYS="FIRST LAST" runs the seeds from FIRST to before LAST instead of the few of CI.
 #include <cstdlib>
@@ -45,6 +45,7 @@
     for (int i = 0; i < 60; ++i) at_random_time([this] { cluster.repeat_commands(); });
     for (int i = 0; i < 6; ++i) at_random_time([this] { preempt_and_cancel(); });
     for (int i = 0; i < 6; ++i) at_random_time([this] { restart_a_busy_machine(); });
+    for (int i = 0; i < 8; ++i) at_random_time([this] { lose_ended_tasks(); });
   }
   void run() { cluster.run(kDisruptionsOverS + kCalmS); }
 
@@ -162,6 +163,28 @@
       if (!agent.tasks.empty() && !agent.suspended) busy.push_back(&agent);
     if (!busy.empty()) cluster.restart(*busy[random_index(busy.size())], random_index(2) == 0);
   }
+  // Starts on a machine are refused, which only the answers to direct commands show, since its heartbeats
+  // reach nobody. It is back without its tasks, for copies of its commands, while the next attempts run
+  // elsewhere.
+  void lose_ended_tasks() {
+    if (cluster.agents.empty()) return;
+    auto agent = cluster.agents.begin();
+    std::advance(agent, static_cast<std::ptrdiff_t>(random_index(cluster.agents.size())));
+    agent->second.refused_starts = 2;
+    agent->second.outbound_blocked = true;
+    for (int i = 0; i < 3; ++i) cluster.submit(1, false, 1, 8, random_index(2) == 0 ? "red" : "blue", "high");
+    const auto with_machine = [this, name = agent->first](const std::function<void(Agent&)>& action) {
+      if (const auto found = cluster.agents.find(name); found != cluster.agents.end()) action(found->second);
+    };
+    const double back_after_s = random_s(1, 6);
+    cluster.after(back_after_s, [this, with_machine] {
+      with_machine([this](Agent& machine) { cluster.restart(machine, false); });
+      cluster.repeat_commands();
+    });
+    cluster.after(back_after_s + 2, [with_machine] {
+      with_machine([](Agent& machine) { machine.outbound_blocked = false, machine.refused_starts = 0; });
+    });
+  }
   void change_the_age_of_lists() {
     using ListAge = CloudService::ListAge;
     cluster.cloud.list_age = random_index(2) == 0 ? ListAge::longest : ListAge::varying;
