Log: an end that does not count yet names the token of its start; the invariant has a test

At the default level `task ended` told under which token the agent was, but not under which the attempt's direct start was, so the premise of the fault (an end under the token of its own start) showed only where both were the partition's. And nothing tested that the violated invariant is reported.

Change: `task end unconfirmed` with reason, token of the start and of the agent, once until the end counts; only attempts that end before a heartbeat has shown them have it. Two tests: this line, and an attempt that runs after it counted as gone (error line, counts as present again).

--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "agent/start_permission.hpp"
 #include "metrics/metrics.hpp"
@@ -70,7 +71,7 @@
     }
     update_reachability();
     record_newest();
-    machine_.has_unconfirmed_ends = false;
+    had_unconfirmed_ends_ = std::exchange(machine_.has_unconfirmed_ends, false);
     bool has_assignments = false;
     for (const auto& item : context_.cache.on_machine(machine_.id)) {
       if (item.partition != machine_.partition) continue;
@@ -169,6 +170,7 @@
     if (!is_trusted() || may_still_start(attempt)) {
       supersede_start(attempt);
       machine_.has_unconfirmed_ends = true;
+      if (!had_unconfirmed_ends_) log_unconfirmed_end(status, attempt);
       return;
     }
     auto observed_exit = exit_of(item, ExitProof::shown_ended);
@@ -187,6 +189,15 @@
     if (status.cause == ExitCause::done) machine_.failed_jobs.clear();
   }
 
+  void log_unconfirmed_end(const TaskStatus& status, const TaskAttempt& attempt) const {
+    spdlog::info(
+        "task end unconfirmed job={} task={} attempt={} machine={} reason={} start_fencing_token={} "
+        "agent_fencing_token={} fencing_token={}",
+        status.job, status.task, status.attempt, machine_.name, name_of(status.cause),
+        machine_.direct_starts.token_of(attempt).value_or(0), heartbeat_.fencing_token,
+        machine_.command_token(context_.tokens));
+  }
+
   /// Records a failure of the job on the machine. Failures of several jobs on one machine indicate a fault of
   /// the machine; failures of one job on several machines indicate a fault of the job.
   void record_failure(core::JobId job) {
@@ -314,7 +325,8 @@
   const HeartbeatContext& context_;
   Machine& machine_;
   const wire::Heartbeat& heartbeat_;
-  std::vector<bool> recorded_;  // by task of the heartbeat: true if it has an assignment
+  bool had_unconfirmed_ends_ = false;  // by the message before
+  std::vector<bool> recorded_;         // by task of the heartbeat: true if it has an assignment
   HeartbeatResult result_;
 };
 
--- a/tests/agent/heartbeat_handler_test.cpp
+++ b/tests/agent/heartbeat_handler_test.cpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "core/captured_log.hpp"
 #include "core/case_names.hpp"
 
 namespace finchrun::agent {
@@ -277,6 +278,29 @@
   EXPECT_TRUE(fixture.heartbeat(2, 12, 50, {}).commands.empty());
 }
 
+// Guards against an attempt that runs while its task's next attempt is placed.
+TEST(HeartbeatHandler, AttemptThatRunsAfterItCountedAsGoneIsReportedAndCountsAsPresent) {
+  const core::CapturedLog log;
+  Fixture fixture;
+  fixture.heartbeat(2, 10, 50, {task_status(7, TaskState::ended, ExitCause::stopped)});
+  ASSERT_EQ(fixture.fleet.observed_exits.size(), 1u);
+  EXPECT_EQ(log.count("invariant violated"), 0);
+  fixture.heartbeat(2, 11, 50, {task_status(7, TaskState::running)});
+  EXPECT_EQ(log.count("invariant violated rule=ran_twice job=req-1 task=0 attempt=7 machine=m"), 1);
+  EXPECT_TRUE(fixture.fleet.observed_exits.empty());
+}
+
+// Without this line the log would not tell that a copy of the start could still be executed.
+TEST(HeartbeatHandler, EndThatDoesNotCountYetIsLoggedOnceWithTheTokenOfItsStart) {
+  const core::CapturedLog log;
+  Fixture fixture;
+  fixture.machine->direct_starts.record({core::JobId{0}, 0, 7}, 50, 2, fixture.now);
+  const auto refused = task_status(7, TaskState::ended, ExitCause::no_room);
+  for (const std::uint64_t sequence : {10u, 11u}) fixture.heartbeat(2, sequence, 50, {refused}, true);
+  EXPECT_EQ(log.count("task end unconfirmed"), 1);
+  EXPECT_EQ(log.count("reason=no_room start_fencing_token=50 agent_fencing_token=50"), 1);
+}
+
 TEST(HeartbeatHandler, ForgetsAttemptOnlyOnceItsEndIsRecorded) {
   Fixture fixture;
   EXPECT_TRUE(
