--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -65,6 +65,7 @@
     Agent agent;
     agent.name = "host-" + std::to_string(agents.size());
     agent.zone = zone;
+    agent.type = "g4";
     agents[agent.name] = agent;
   }
   void post(double, std::function<void()> action) override { planned_.push_back(std::move(action)); }
@@ -114,6 +115,22 @@
      ""},
     {"outside_its_zone", [](History& h) { h.accept(1, "b"), h.put(0, 0, "waiting"); }, "wrong_place"},
     {"in_its_zone", [](History& h) { h.accept(1, "b"), h.put(2, 0, "waiting"); }, ""},
+    {"on_a_type_that_its_job_does_not_allow",
+     [](History& h) { h.accept(), h.job().spec["racks"] = json::array{"g8"}, h.put(0, 0, "waiting"); },
+     "wrong_place"},
+    {"on_a_type_that_its_job_allows",
+     [](History& h) {
+       h.accept(), h.job().spec["racks"] = json::array{"g8", "g4"}, h.put(0, 0, "waiting");
+     },
+     ""},
+    {"on_a_spot_machine_that_its_job_does_not_allow",
+     [](History& h) { h.accept(), h.agents.at("host-0").spot = true, h.put(0, 0, "waiting"); },
+     "wrong_place"},
+    {"on_a_spot_machine_that_its_job_allows",
+     [](History& h) {
+       h.accept(), h.job().spec["loaners"] = h.agents.at("host-0").spot = true, h.put(0, 0, "waiting");
+     },
+     ""},
     {"together_in_two_zones",
      [](History& h) { make_zone_bound(h, "together"), h.put(0, 0, "running"), h.put(2, 1, "waiting"); },
      "wrong_place"},
@@ -157,6 +174,19 @@
     {"done_and_still_done",
      [](History& h) { h.accept(), h.job().completed = {0}, h.answer_poll("done"), h.answer_poll("done"); },
      ""},
+    {"known_and_submitted_by_nobody",
+     [](History& h) {
+       h.ask_about_an_unknown_job(0), h.answer({http::status::kOk, "{}"});
+     },
+     "invented"},
+    {"unknown_and_submitted_by_nobody",
+     [](History& h) {
+       h.ask_about_an_unknown_job(0), h.answer({http::status::kNotFound, "{}"});
+     },
+     ""},
+    {"nothing_started_until_the_end", [](History& h) { h.accept(), h.check_at_the_end(); }, "nothing_ran"},
+    {"something_started_before_the_end",
+     [](History& h) { h.accept(), h.task_starts = 1, h.check_at_the_end(); }, ""},
     {"cancelled_by_nobody", [](History& h) { h.accept(), h.answer_poll("cancelled"); }, "went_back"},
     {"cancelled_by_its_user",
      [](History& h) { h.accept(), h.job().cancellation_requested = true, h.answer_poll("cancelled"); }, ""},
--- a/tests/sim/deployment.hpp
+++ b/tests/sim/deployment.hpp
@@ -61,6 +61,10 @@
   // Sends a user's request once to one controller, and calls `done` with the status and body of the response.
   void request_once(std::size_t controller, const std::string& method, const std::string& target,
                     const std::string& body, std::function<void(int, std::string)> done);
+  // Asks one controller about a job that nobody has submitted, and checks the rule `invented`.
+  void ask_about_an_unknown_job(std::size_t controller);
+  // Checks the rule `nothing_ran`, once at the end of a run.
+  void check_at_the_end();
   // Ends an outage of the key-value store. The next reads of its changes are slow by `slow_read_delay_s`.
   void recover_store();
   // Adds a spot instance that is up at once and that no list of the cloud shows. Its agent sends its first
@@ -148,6 +152,7 @@
     std::map<std::string, std::size_t> tasks;  // by job: tasks on machines or told to start
   };
   void check_starvation();
+  void check_kind(const Agent& agent, const Task& task);
   void check_scatter(const Agent& agent, const Task& task);
   [[nodiscard]] FreeCapacity free_capacity() const;
   static bool could_start(const std::string& id, const JobHistory& job, const FreeCapacity& capacity);
--- a/tests/sim/rules.cpp
+++ b/tests/sim/rules.cpp
@@ -1,4 +1,5 @@
 // Checks the protocol's rules after every step against the agents' tasks and the responses to users.
+#include <algorithm>
 #include <cmath>
 
 #include "sim/deployment.hpp"
@@ -22,6 +23,7 @@
   if (const auto* zone = job.spec.if_contains("hall");
       zone && zone->is_string() && zone->as_string() != agent.zone)
     violations.push_back("wrong_place " + task.job);
+  check_kind(agent, task);
   check_scatter(agent, task);
   if (!job.spec.at("together").as_bool()) return;
   for_each_task([&](const Agent& other_agent, const Task& other) {
@@ -30,6 +32,22 @@
   });
 }
 
+// Checks that the job allows the machine's type, and spot machines if it is one.
+void Deployment::check_kind(const Agent& agent, const Task& task) {
+  const auto& job = jobs.at(task.job);
+  const auto* types = job.spec.if_contains("racks");
+  const bool allowed = !types || !types->is_array() ||
+                       std::any_of(types->as_array().begin(), types->as_array().end(),
+                                   [&](const json::value& type) { return type.as_string() == agent.type; });
+  if (!allowed) violations.push_back("wrong_place " + task.job + " type");
+  if (agent.spot && !job.spec.at("loaners").as_bool())
+    violations.push_back("wrong_place " + task.job + " spot");
+}
+
+void Deployment::check_at_the_end() {
+  if (task_starts == 0) violations.emplace_back("nothing_ran");
+}
+
 void Deployment::check_scatter(const Agent& agent, const Task& task) {
   const auto& job = jobs.at(task.job);
   if (!job.spec.at("scatter").as_bool()) return;
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -28,6 +28,14 @@
       kRequestTimeoutS);
 }
 
+void Deployment::ask_about_an_unknown_job(std::size_t controller) {
+  const std::string unknown = "req-999999";
+  request_once(controller, "GET", "/submissions/" + unknown, "",
+               [this, unknown](int status, const std::string&) {
+                 if (status == http::status::kOk) violations.push_back("invented " + unknown);
+               });
+}
+
 void Deployment::submit(int tasks, bool gang, double gpus, double run_s, const std::string& team,
                         const std::string& priority, bool spot, const std::string& zone,
                         double run_increment_s) {
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -11,7 +11,7 @@
 constexpr double kLongestFaultS = 12;
 constexpr double kJobsPerMachine = 6;  // submitted while faults last
 constexpr double kMaxTasks = 6;
-constexpr std::size_t kFaultKinds = 5;  // of one seed, which then overlap
+constexpr std::size_t kFaultKinds = 6;  // of one seed, which then overlap
 constexpr double kBurstIntervalS = 4, kBurstS = 4;
 
 }  // namespace
@@ -33,7 +33,7 @@
   plan_work();
   plan_network_faults();
   // A process or a machine is back at once in every seed; other faults meet that.
-  std::vector<Fault> kinds{Fault::kill, Fault::restart_machine};
+  std::vector<Fault> kinds{Fault::kill, Fault::restart_machine, Fault::lose_ended_tasks};
   while (kinds.size() < kFaultKinds)
     kinds.push_back(static_cast<Fault>(pick(static_cast<std::size_t>(Fault::count))));
   const auto bursts = static_cast<int>(options_.duration_s / kBurstIntervalS);
@@ -80,11 +80,7 @@
 // Asks all controllers about a job at once, repeats its submission, and asks about a job that nobody has
 // submitted.
 void FaultSchedule::look_closely() {
-  deployment_.request_once(pick(deployment_.controller_count()), "GET", "/submissions/req-999999", "",
-                           [this](int status, const std::string&) {
-                             if (status == http::status::kOk)
-                               deployment_.violations.push_back("invented req-999999");
-                           });
+  deployment_.ask_about_an_unknown_job(pick(deployment_.controller_count()));
   if (deployment_.jobs.empty()) return;
   auto it = deployment_.jobs.begin();
   std::advance(it, static_cast<std::ptrdiff_t>(pick(deployment_.jobs.size())));
@@ -165,6 +161,8 @@
       deployment_.after(random_s(3, kLongestFaultS),
                         [this] { deployment_.cloud.list_age = sim::CloudService::ListAge::usual; });
       return;
+    case Fault::lose_ended_tasks:
+      return lose_ended_tasks();
     case Fault::preempt_and_cancel:
       deployment_.submit(1, false, 4, 4, pick(2) == 0 ? "red" : "blue", "prod");
       return cancel_a_job();
@@ -254,6 +252,29 @@
   }
 }
 
+// Starts are refused, which only the answers to direct commands show; then the machine is back without its
+// tasks.
+void FaultSchedule::lose_ended_tasks() {
+  if (deployment_.agents.empty()) return;
+  auto agent = deployment_.agents.begin();
+  std::advance(agent, static_cast<std::ptrdiff_t>(pick(deployment_.agents.size())));
+  victim_ = agent->first;
+  agent->second.refused_starts = 2;
+  agent->second.outbound_blocked = true;
+  deployment_.log_fault("refused starts and mute " + victim_);
+  for (int i = 0; i < 3; ++i) deployment_.submit(1, false, 1, 8, pick(2) == 0 ? "red" : "blue", "high");
+  const double back_after_s = random_s(1, 5);
+  deployment_.after(back_after_s, [this, machine = victim_] {
+    const auto found = deployment_.agents.find(machine);
+    if (found != deployment_.agents.end()) restart_machine(found->second);
+  });
+  deployment_.after(back_after_s + 2, [this, machine = victim_] {
+    const auto found = deployment_.agents.find(machine);
+    if (found != deployment_.agents.end())
+      found->second.outbound_blocked = false, found->second.refused_starts = 0;
+  });
+}
+
 void FaultSchedule::block_machine(bool sim::Agent::*direction, const char* name) {
   auto* agent = victim();
   if (!agent) return;
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -36,6 +36,7 @@
     refuse_starts,
     refuse_deletions,
     old_lists,
+    lose_ended_tasks,
     preempt_and_cancel,
     kill_in_series,
     count,
@@ -53,6 +54,7 @@
   void stop_the_store();
   void cut(std::size_t controller, bool from_peers);
   void refuse_deletions();
+  void lose_ended_tasks();
   void block_machine(bool sim::Agent::*direction, const char* name);
 
   [[nodiscard]] double random_s(double from_s, double to_s);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -69,6 +69,7 @@
     FaultSchedule schedule(deployment, options, seed);
     schedule.plan();
     deployment.run(options.duration_s + options.calm_s);
+    deployment.check_at_the_end();
     failures = deployment.violations;
     faults = deployment.faults_log();
     stall_s = deployment.longest_stall_s();
@@ -76,7 +77,6 @@
     jobs = deployment.jobs.size();
     for (const auto& [_, job] : deployment.jobs)
       done += job.reported_done || job.reported_cancelled_at ? 1 : 0;
-    if (starts == 0) failures.emplace_back("nothing_ran");
   }
   for (auto& line : error_lines(folder)) failures.push_back("error logged: " + line);
   const auto verdict = stall_s > kMaxStallS ? Verdict::not_judged
