Metrics and log lines that tell how a cancellation became known and when its last task was gone

Change: `cancellation learned` (source, the moment before which no user was told), `cancelled tasks linger`, `cancelled tasks gone`, `lease renewal suspended` and `resumed`, the revision in `job cancelled`; gauges of lingering cancelled tasks, the age of the oldest and of cancellations_known_at; stops by their answer. The invariant is checked on every message: a task of a cancelled job that is shown on its machine cancel_s after this controller learnt of it, by a message that can't be a late one, is an error line and a counter. It ends no process. agent::Cancellations keeps, for each known cancellation, the time before which it can't have been confirmed: cancellations_known_at of the moment at which it was learnt.

No behaviour towards agents, users or the store changes.

--- a/src/agent/fleet.hpp
+++ b/src/agent/fleet.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "agent/cancellations.hpp"
 #include "agent/machine.hpp"
 #include "cloud/cloud_client.hpp"
 #include "core/clock.hpp"
@@ -104,6 +105,8 @@
   [[nodiscard]] bool was_deleted(const jobs::Names& names, const std::string& name) const;
   /// Tasks being preempted, with the grace period in seconds that each gets to save its checkpoint.
   std::map<TaskAttempt, double> preempting;
+  /// Cancellations whose tasks may still be on machines, and what was done about them.
+  Cancellations cancellations;
   /// Stop commands for tasks of cancelled jobs.
   std::map<TaskAttempt, StopRetry> stop_retries;
 
--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kFailedJobsUntilQuarantine = 2;
 constexpr double kCordonAfterFailureS = 20;
 constexpr double kCordonWithoutRoomS = 2;
+// The timeout of a direct command: its answer is no older.
+constexpr double kLongestDirectAnswerS = 3;
 
 const char* name_of(ExitCause cause) {
   switch (cause) {
@@ -79,6 +81,7 @@
       handle_assignment(item);
     }
     handle_unrecorded_tasks();
+    check_cancelled_tasks();
     if (has_assignments || machine_.unrecorded_tasks > 0 || machine_.idle_since == core::TimePoint{})
       machine_.idle_since = context_.now;
     if (result_.commands.size() > wire::kMaxCommands) result_.commands.resize(wire::kMaxCommands);
@@ -118,6 +121,7 @@
     // An answer to a direct command doesn't show that the agent can reach this controller. An agent that
     // can't loses its lease, and with it every task placed there.
     if (!context_.is_direct_answer) machine_.last_heartbeat = context_.now;
+    if (context_.is_direct_answer) machine_.last_direct_answer = context_.now;
     machine_.last_message = context_.now;
     machine_.endpoint = heartbeat_.endpoint;
     machine_.termination_notice_s = heartbeat_.termination_notice_s;
@@ -285,6 +289,36 @@
         machine_.command_token(context_.tokens));
   }
 
+  /// Checks the invariant that a cancelled job's tasks are gone `cancel_s` after its cancellation was learnt.
+  void check_cancelled_tasks() {
+    for (const auto& status : heartbeat_.tasks) {
+      if (!status.is_on_machine()) continue;
+      const auto job = context_.names.jobs.find(status.job);
+      const auto* cancellation = job ? context_.fleet.cancellations.find(*job) : nullptr;
+      // A heartbeat may arrive late, but not before the direct answer that its agent sent earlier.
+      if (cancellation && core::seconds_between(cancellation->learned_at, machine_.last_direct_answer) >
+                              context_.cancel_s + kLongestDirectAnswerS)
+        report_overdue(status, *cancellation);
+    }
+  }
+
+  void report_overdue(const TaskStatus& status, const KnownCancellation& cancellation) const {
+    metrics::count_violation("cancelled_task_present");
+    spdlog::error(
+        "invariant violated rule=ran_cancelled job={} task={} attempt={} machine={} "
+        "state=cancelled_task_present learned_s={:.1f} source={} stops_sent={} stops_unanswered={} "
+        "renewals={} agent_incarnation={} sequence={} start_fencing_token={} agent_fencing_token={} "
+        "fencing_token={} highest_available_token={} direct_answer={}",
+        status.job, status.task, status.attempt, machine_.name,
+        core::seconds_between(cancellation.learned_at, context_.now), name_of(cancellation.source),
+        cancellation.stops_sent, cancellation.stops_unanswered, cancellation.renewals,
+        heartbeat_.agent_incarnation, heartbeat_.sequence,
+        machine_.direct_starts.token_of({*context_.names.jobs.find(status.job), status.task, status.attempt})
+            .value_or(0),
+        heartbeat_.fencing_token, machine_.command_token(context_.tokens), context_.tokens.highest_available,
+        context_.is_direct_answer);
+  }
+
   /// Returns the exit of the assigned attempt, not completed.
   [[nodiscard]] ObservedExit exit_of(const MachineAssignment& item, ExitProof proof) const {
     return {item.job,
--- a/src/agent/heartbeat_handler.hpp
+++ b/src/agent/heartbeat_handler.hpp
@@ -37,6 +37,7 @@
   /// True for the agent's answer to a direct command. Start commands in the answer to the agent's last
   /// heartbeat may still be in flight, so a task that is missing here is not proved absent.
   bool is_direct_answer = false;
+  double cancel_s = 0;  ///< by when tasks of a cancelled job must have ended
 };
 
 struct HeartbeatResult {
--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -54,6 +54,7 @@
   std::uint64_t fencing_token = 0;             ///< the highest that the agent had seen
   core::TimePoint last_heartbeat{};            ///< excludes the answers to direct commands
   core::TimePoint last_message{};              ///< the newest heartbeat or answer to a direct command
+  core::TimePoint last_direct_answer{};        ///< the newest answer to a direct command
   std::optional<double> termination_notice_s;  ///< time until the cloud terminates the spot instance
   /// This controller relayed the machine's last heartbeat to the leader without a redirect, since the agent
   /// seemed unable to reach the leader.
--- a/src/controller/controller_state.cpp
+++ b/src/controller/controller_state.cpp
@@ -112,6 +112,12 @@
   return core::seconds_between(cancellations_known_at(now), now) < settings.lease_renewal_window_s();
 }
 
+void ControllerState::learn_cancellations(agent::CancellationSource source, core::TimePoint now) {
+  const auto known_at = cancellations_known_at(now);
+  for (const auto job : cache.take_new_cancellations())
+    fleet.cancellations.learn(job, {.confirmed_after = known_at, .learned_at = now, .source = source});
+}
+
 double ControllerState::seconds_since_heartbeat(const agent::Machine& machine, core::TimePoint now) const {
   const auto term_start = leading_since.at(machine.partition.index);
   return core::seconds_between(std::max({machine.last_heartbeat, machine.first_seen, term_start}), now);
@@ -140,9 +146,10 @@
                                                         const wire::Heartbeat& heartbeat, core::TimePoint now,
                                                         bool is_direct_answer) {
   const bool starts_allowed = core::seconds_between(synchronized_at, now) < kMaxStateAgeToStartS;
-  return agent::handle_heartbeat({names, cache, fleet, job_failures, fencing_tokens(machine.partition), now,
-                                  settings.agent_lease_s, starts_allowed, is_direct_answer},
-                                 machine, heartbeat);
+  return agent::handle_heartbeat(
+      {names, cache, fleet, job_failures, fencing_tokens(machine.partition), now, settings.agent_lease_s,
+       starts_allowed, is_direct_answer, settings.cancel_s},
+      machine, heartbeat);
 }
 
 void ControllerState::drop_recorded_exits() {
--- a/src/controller/controller_state.hpp
+++ b/src/controller/controller_state.hpp
@@ -180,6 +180,10 @@
   /// and would run longer than `cancel_s` after that.
   [[nodiscard]] bool can_renew_leases(core::TimePoint now) const;
 
+  /// Notes the cancellations that were applied to the cache since the last call. Called after changes are
+  /// applied, and before a newer `cancellations_known_at` counts: whatever is new was confirmed after it.
+  void learn_cancellations(agent::CancellationSource source, core::TimePoint now);
+
   // Machines.
 
   /// Returns the seconds since the agent's last heartbeat to this controller. The time starts again with each
--- a/src/coordination/peer_service.cpp
+++ b/src/coordination/peer_service.cpp
@@ -37,10 +37,13 @@
 }
 
 // Applies the change ahead of the next read of the store, as this controller's own commits are.
-void apply_cancellation(ControllerState& state, const peer::CancellationNotice& notice) {
+void apply_cancellation(ControllerState& state, const peer::CancellationNotice& notice,
+                        agent::CancellationSource source) {
   boost::system::error_code ec;
   auto record = boost::json::parse(notice.record, ec);
-  if (!ec) state.cache.apply({state::keys::job(notice.job), std::move(record), notice.revision});
+  if (ec) return;
+  state.cache.apply({state::keys::job(notice.job), std::move(record), notice.revision});
+  state.learn_cancellations(source, core::SteadyClock::now());
 }
 
 // Returns the cancellations that the sender of a ping may lack after reading everything up to `revision`.
@@ -58,7 +61,8 @@
 // Applies a pong. It need not contain cancellations that were confirmed after `ping_sent_at`.
 void apply_pong(ControllerState& state, std::size_t peer, const peer::Pong& pong,
                 core::TimePoint ping_sent_at) {
-  for (const auto& notice : pong.cancelled) apply_cancellation(state, notice);
+  for (const auto& notice : pong.cancelled)
+    apply_cancellation(state, notice, agent::CancellationSource::ping);
   if (!pong.complete) return;
   auto& confirmed_at = state.cancellations_confirmed_at[peer];
   confirmed_at = std::max(confirmed_at, ping_sent_at);
@@ -128,7 +132,9 @@
 }
 
 asio::awaitable<std::string> PeerService::answer(peer::CancellationNotice notice) {
-  state_.with([&](ControllerState& state) { apply_cancellation(state, notice); });
+  state_.with([&](ControllerState& state) {
+    apply_cancellation(state, notice, agent::CancellationSource::announcement);
+  });
   co_return reply_frame(http::status::kOk, "");
 }
 
--- a/src/coordination/state_follower.cpp
+++ b/src/coordination/state_follower.cpp
@@ -51,6 +51,7 @@
   state_.with([&](ControllerState& state) {
     state.cache.reset();
     for (const auto& update : updates) state.cache.apply(update);
+    state.learn_cancellations(agent::CancellationSource::load, core::SteadyClock::now());
     // Pages are read at different revisions, and this controller's own writes may be newer still. The cache
     // is not used for decisions until the changes since the first page have been read; otherwise a heartbeat
     // would find its tasks unknown and stop them.
@@ -97,6 +98,7 @@
   const auto& changes = std::get<state::Changes>(result);
   const bool was_loaded = state_.with([&](ControllerState& state) {
     for (const auto& event : changes.events) state.cache.apply(event);
+    state.learn_cancellations(agent::CancellationSource::read, core::SteadyClock::now());
     state.cache.synchronized(changes.revision);
     state.synchronized_at = sent_at;
     return std::exchange(state.cache_loaded, true);
@@ -154,6 +156,7 @@
       update.revision = result.revision;
       state.cache.apply(update);
     }
+    state.learn_cancellations(agent::CancellationSource::commit, core::SteadyClock::now());
   });
   co_return result;
 }
--- a/src/gateway/agent_commands.cpp
+++ b/src/gateway/agent_commands.cpp
@@ -58,6 +58,17 @@
   }
 }
 
+// Counts the stop commands by their outcome, those of cancelled jobs also by job.
+void count_stops(ControllerState& state, const std::vector<wire::Command>& commands, Delivery delivery) {
+  for (const auto& command : commands) {
+    if (command.kind != wire::Command::Kind::stop) continue;
+    metrics::count_stop(name_of(delivery));
+    const auto job = state.names.jobs.find(command.job);
+    auto* cancellation = job ? state.fleet.cancellations.find(*job) : nullptr;
+    if (cancellation && delivery == Delivery::no_answer) ++cancellation->stops_unanswered;
+  }
+}
+
 }  // namespace
 
 asio::awaitable<void> AgentCommands::probe(core::MachineId machine) {
@@ -104,6 +115,7 @@
       auto* target = state.fleet.find(machine);
       if (!target) return false;
       update_direct_starts(*target, starts, answer);
+      count_stops(state, commands, answer.delivery);
       return is_overtaken(state, *target, address->fencing_token, answer);
     });
     if (!overtaken) co_return;
--- a/src/gateway/cancelled_task_stopper.cpp
+++ b/src/gateway/cancelled_task_stopper.cpp
@@ -13,7 +13,10 @@
   while (true) {
     co_await runtime_.sleep(kRoundIntervalS);
     auto stops = state_.with([&](ControllerState& state) {
-      auto due = take_due_stops(state, in_flight_.count(), core::SteadyClock::now(),
+      const auto now = core::SteadyClock::now();
+      log_cancellation_progress(state, now);
+      renewal_log_.update(state, now);
+      auto due = take_due_stops(state, in_flight_.count(), now,
                                 [this](double seconds) { return runtime_.jitter(seconds); });
       for (const auto& [machine, commands] : due)
         spdlog::debug("tasks of cancelled jobs stopped machine={} tasks={}",
--- a/src/gateway/cancelled_task_stopper.hpp
+++ b/src/gateway/cancelled_task_stopper.hpp
@@ -5,6 +5,7 @@
 #include "controller/runtime.hpp"
 #include "core/in_flight.hpp"
 #include "gateway/agent_commands.hpp"
+#include "gateway/cancellation_progress.hpp"
 
 namespace finchrun::gateway {
 
@@ -29,6 +30,7 @@
   controller::SharedState& state_;
   AgentCommands& commands_;
   core::InFlightCounter in_flight_;
+  RenewalLog renewal_log_;
 };
 
 }  // namespace finchrun::gateway
--- a/src/gateway/due_stops.cpp
+++ b/src/gateway/due_stops.cpp
@@ -37,6 +37,7 @@
     if (commands.size() >= wire::kMaxCommands) return;
     retry.next_at = now + jitter(backoff_s(retry.attempts));
     ++retry.attempts;
+    if (auto* cancellation = state.fleet.cancellations.find(job)) ++cancellation->stops_sent;
     commands.push_back(
         {wire::Command::Kind::stop, state.names.jobs.name(job), assignment.task, assignment.attempt, 0});
   };
--- a/src/gateway/job_api.cpp
+++ b/src/gateway/job_api.cpp
@@ -161,7 +161,7 @@
       store_.try_spend_writes(1, state::KeyValueStore::WritePurpose::user_requests);
       const auto result = co_await follower_.commit(std::move(cancellable->transaction));
       if (result.outcome == CommitStatus::done) {
-        spdlog::info("job cancelled job={}", id);
+        spdlog::info("job cancelled job={} revision={}", id, result.revision);
         peer_service_.announce_cancellation(id);
         co_return status_of(cancellable->job);
       }
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -1,5 +1,6 @@
 #include "gateway/router.hpp"
 
+#include "gateway/cancellation_progress.hpp"
 #include "gateway/responses.hpp"
 #include "gateway/routes.hpp"
 #include "metrics/metrics.hpp"
@@ -46,8 +47,11 @@
 
 http::Response Router::metrics_page() {
   state_.with([](const controller::ControllerState& state) {
-    metrics::set_state(state.cache.revision(),
-                       core::seconds_between(state.synchronized_at, core::SteadyClock::now()));
+    const auto now = core::SteadyClock::now();
+    metrics::set_state(state.cache.revision(), core::seconds_between(state.synchronized_at, now));
+    const auto lingering = lingering_tasks(state, now);
+    metrics::set_cancellations(static_cast<double>(lingering.tasks), lingering.oldest_s,
+                               core::seconds_between(state.cancellations_known_at(now), now));
     for (std::uint32_t index = 0; index < state.partitions.size(); ++index) {
       const core::PartitionId partition{index};
       metrics::set_fencing_token(state.names.partitions.name(partition),
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -26,6 +26,26 @@
                                         .Name("finchrun_starts_refused_total")
                                         .Help("Direct starts that were not sent, by reason.")
                                         .Register(registry);
+  Family<Counter>& stops = prometheus::BuildCounter()
+                               .Name("finchrun_stops_total")
+                               .Help("Direct stop commands, by the agent's answer.")
+                               .Register(registry);
+  Family<Counter>& refused_renewals = prometheus::BuildCounter()
+                                          .Name("finchrun_lease_renewals_refused_total")
+                                          .Help("Heartbeats not answered because of cancellations.")
+                                          .Register(registry);
+  Family<Gauge>& lingering_tasks = prometheus::BuildGauge()
+                                       .Name("finchrun_cancelled_tasks")
+                                       .Help("Tasks of cancelled jobs that may still be on machines.")
+                                       .Register(registry);
+  Family<Gauge>& lingering_age = prometheus::BuildGauge()
+                                     .Name("finchrun_cancelled_task_age_seconds")
+                                     .Help("Time since the oldest of their cancellations was learnt.")
+                                     .Register(registry);
+  Family<Gauge>& cancellations_age = prometheus::BuildGauge()
+                                         .Name("finchrun_cancellations_known_age_seconds")
+                                         .Help("Cancellations confirmed before that time are all known.")
+                                         .Register(registry);
   Family<Counter>& violations = prometheus::BuildCounter()
                                     .Name("finchrun_invariant_violations_total")
                                     .Help("Invariants that did not hold. Each one is a bug.")
@@ -60,6 +80,10 @@
 void count_refused_start(const char* reason) {
   metrics().refused_starts.Add({{"reason", reason}}).Increment();
 }
+void count_stop(const char* result) { metrics().stops.Add({{"result", result}}).Increment(); }
+void count_refused_renewal(const char* reason) {
+  metrics().refused_renewals.Add({{"reason", reason}}).Increment();
+}
 void count_violation(const char* invariant) {
   metrics().violations.Add({{"invariant", invariant}}).Increment();
 }
@@ -74,6 +98,12 @@
   metrics().fencing_tokens.Add({{"partition", partition}}).Set(static_cast<double>(token));
 }
 
+void set_cancellations(double lingering_tasks, double oldest_s, double known_age_s) {
+  metrics().lingering_tasks.Add({}).Set(lingering_tasks);
+  metrics().lingering_age.Add({}).Set(oldest_s);
+  metrics().cancellations_age.Add({}).Set(known_age_s);
+}
+
 std::string render() { return prometheus::TextSerializer().Serialize(metrics().registry.Collect()); }
 
 }  // namespace finchrun::metrics
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -25,6 +25,7 @@
 
 void JobTable::record_cancellation(core::JobId id, std::uint64_t revision) {
   constexpr std::size_t kMaxCancellations = 4096;
+  new_cancellations_.push_back(id);
   cancelled_.emplace(revision, id);
   if (cancelled_.size() <= kMaxCancellations) return;
   cancellations_dropped_up_to_ = cancelled_.begin()->first;
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -33,6 +33,10 @@
   [[nodiscard]] const std::set<core::JobId>& live_jobs() const { return live_; }
   /// Jobs cancelled after the revision; nullopt if this cache no longer has all of them.
   [[nodiscard]] std::optional<std::vector<core::JobId>> cancelled_after(std::uint64_t revision) const;
+  /// Returns the jobs that were read as cancelled since the last call, repeated ones among them.
+  [[nodiscard]] std::vector<core::JobId> take_new_cancellations() {
+    return std::exchange(new_cancellations_, {});
+  }
   /// Increases with every change of a record.
   [[nodiscard]] std::uint64_t version() const { return version_; }
 
@@ -52,6 +56,7 @@
   // The newest cancellations by revision, and the revision up to which they have been dropped.
   std::set<std::pair<std::uint64_t, core::JobId>> cancelled_;
   std::uint64_t cancellations_dropped_up_to_ = 0;
+  std::vector<core::JobId> new_cancellations_;  // until `take_new_cancellations`
 };
 
 }  // namespace finchrun::state
--- a/src/state/state_cache.hpp
+++ b/src/state/state_cache.hpp
@@ -54,6 +54,8 @@
   [[nodiscard]] std::optional<std::vector<core::JobId>> cancelled_after(std::uint64_t revision) const {
     return jobs_.cancelled_after(revision);
   }
+  /// Returns the jobs that were read as cancelled since the last call, repeated ones among them.
+  [[nodiscard]] std::vector<core::JobId> take_new_cancellations() { return jobs_.take_new_cancellations(); }
 
   /// Calls f(job, partition, assignments) for each job's entry in each shard.
   template <class F>
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -52,6 +52,10 @@
   TaskState state = TaskState::other;
   ExitCause cause = ExitCause::none;
   bool checkpoint_saved = false;  ///< only of an ended task
+  /// True from the moment at which the task has its image until it ends.
+  [[nodiscard]] bool is_on_machine() const {
+    return state != TaskState::fetching && state != TaskState::ended;
+  }
 };
 /// An agent's report about its machine, sent periodically and in answer to direct commands. The newest is the
 /// one with the highest incarnation, and the highest sequence number within it.
--- a/tests/sim/cluster.cpp
+++ b/tests/sim/cluster.cpp
@@ -75,6 +75,9 @@
 void Cluster::execute_withheld_writes() {
   for (const auto& write : std::exchange(withheld_writes_, {})) write();
 }
+void Cluster::execute_withheld_commands() {
+  for (const auto& command : std::exchange(withheld_commands_, {})) command();
+}
 
 void Cluster::run(double seconds) {
   const auto end = now_ + core::to_duration(seconds);
--- a/tests/sim/cluster.hpp
+++ b/tests/sim/cluster.hpp
@@ -30,6 +30,11 @@
   // Executes the transactions that were held back, in the order in which they were sent.
   void execute_withheld_writes();
   [[nodiscard]] std::size_t withheld_write_count() const { return withheld_writes_.size(); }
+  // Called with the body of each direct command. If it returns true, the command gets no response and is held
+  // back until `execute_withheld_commands`.
+  std::function<bool(const json::object&)> withhold_command;
+  void execute_withheld_commands();
+  [[nodiscard]] std::size_t withheld_command_count() const { return withheld_commands_.size(); }
   // The digest of all simulated messages so far and their times, which is equal for two builds that behave
   // alike. The destructor prints it if FINCHRUN_TRAFFIC_DIGEST is set.
   [[nodiscard]] const TrafficDigest& traffic() const { return traffic_; }
@@ -51,6 +56,8 @@
   void repeat_later(std::size_t controller, const config::Endpoint& to, http::Verb verb,
                     const std::string& target, const std::string& body);
   bool delay_write(std::size_t controller, const config::Endpoint& to, const std::string& body);
+  // Returns true if the direct command is held back.
+  bool withhold(std::size_t controller, const config::Endpoint& to, const std::string& body);
   [[nodiscard]] double store_delay_s(const std::string& target) const;
   void send_request(std::size_t controller, http::Request request,
                     std::function<void(std::optional<http::Response>)> done, double timeout_s) override;
@@ -62,7 +69,7 @@
 
   std::multimap<TimePoint, std::function<void()>> events_;
   std::vector<std::unique_ptr<ControllerProcess>> processes_;
-  std::vector<std::function<void()>> withheld_writes_;
+  std::vector<std::function<void()>> withheld_writes_, withheld_commands_;
   TrafficDigest traffic_;
 };
 
--- a/tests/sim/deployment.cpp
+++ b/tests/sim/deployment.cpp
@@ -45,6 +45,11 @@
   for (auto& [_, agent] : agents) step_agent(agent);
 }
 
+std::size_t Deployment::leader_of(const std::string& partition) const {
+  const auto records = store.items_with_prefix("parts/" + partition);
+  return static_cast<std::size_t>(records.at("parts/" + partition).at("owner").as_string().back() - '0');
+}
+
 std::size_t Deployment::busiest_leader() const {
   std::map<std::size_t, int> partitions_led;
   for (const auto& [key, value] : store.items_with_prefix("parts/"))
--- a/tests/sim/deployment.hpp
+++ b/tests/sim/deployment.hpp
@@ -25,8 +25,8 @@
   // A request to the key-value store or the cloud that was executed and answered is executed once more, up to
   // `max_duplicate_delay_s` later.
   double repeated_request_probability = 0;
-  // A direct command gets no response and is executed 2 to 16 s later.
-  double late_command_probability = 0;
+  // A direct command gets no response and is executed later, by 2 s to `max_late_command_s`.
+  double late_command_probability = 0, max_late_command_s = 16;
   // A response of the key-value store or of an agent arrives later, by up to `max_slow_response_s`.
   double slow_response_probability = 0, max_slow_response_s = 1.2;
   double store_delay_s = 0;  // additional delay of the key-value store
@@ -74,6 +74,8 @@
   void remove_machine(const std::string& name);
   // Returns the controller that leads the most partitions according to the key-value store.
   [[nodiscard]] std::size_t busiest_leader() const;
+  // Returns the partition's leader according to the key-value store.
+  [[nodiscard]] std::size_t leader_of(const std::string& partition) const;
   // Suspends an agent; commands that arrive meanwhile are executed when it resumes.
   void suspend(Agent& agent, double duration_s);
   // Delivers to every agent that can be reached each direct command that it has executed once more.
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -8,7 +8,7 @@
 namespace finchrun::sim {
 namespace {
 
-constexpr double kMinLateCommandS = 2, kMaxLateCommandS = 16;
+constexpr double kMinLateCommandS = 2;
 
 }  // namespace
 
@@ -25,12 +25,14 @@
   const bool late = cluster.chance(faults.late_request_probability);
   const bool to_store = to.host == kStoreHost;
   const bool late_command = target == "/do" && cluster.chance(faults.late_command_probability);
-  if (to_store && target == "/commit" && cluster.delay_write(controller, to, body)) {
+  const bool delayed = (to_store && target == "/commit" && cluster.delay_write(controller, to, body)) ||
+                       (target == "/do" && cluster.withhold(controller, to, body));
+  if (delayed) {
     boost::system::error_code ec;
     co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_return ClientResponse{};
   }
-  const double arrival_delay_s = late_command ? cluster.random_s(kMinLateCommandS, kMaxLateCommandS)
+  const double arrival_delay_s = late_command ? cluster.random_s(kMinLateCommandS, faults.max_late_command_s)
                                  : late       ? core::Seconds(timeout).count() + 20 * cluster.delay()
                                               : cluster.delay();
   const double store_delay_s = to_store ? cluster.store_delay_s(target) : 0;
@@ -79,6 +81,13 @@
   return true;
 }
 
+bool Cluster::withhold(std::size_t controller, const config::Endpoint& to, const std::string& body) {
+  if (!withhold_command || !withhold_command(json::parse(body).as_object())) return false;
+  withheld_commands_.push_back(
+      [this, body, controller, to] { deliver(controller, to, http::Verb::post, "/do", body); });
+  return true;
+}
+
 double Cluster::store_delay_s(const std::string& target) const {
   const bool slow_read = target.starts_with("/follow") && now_ < slow_reads_until_;
   return faults.store_delay_s + (slow_read ? faults.slow_read_delay_s : 0);
--- a/tests/soak/real_deployment.cpp
+++ b/tests/soak/real_deployment.cpp
@@ -19,7 +19,7 @@
 constexpr double kStepS = 0.01;      // of the agents and the checks
 constexpr double kForeverS = 86400;  // longer than any run
 constexpr double kMachineGpus = 4;
-constexpr double kMinLateS = 2, kMaxLateWriteS = 12, kMaxLateCommandS = 16;
+constexpr double kMinLateS = 2, kMaxLateWriteS = 12;
 constexpr double kMinRepeatDelayS = 0.3;
 
 // Returns a loopback address that no other process of the soak uses at the same time.
@@ -259,7 +259,7 @@
   if (found == agents.end() || found->second.inbound_blocked || chance(faults.request_loss_probability))
     co_return co_await no_answer();
   if (chance(faults.late_command_probability)) {
-    post(random_s(kMinLateS, kMaxLateCommandS), [execute] { execute(); });
+    post(random_s(kMinLateS, faults.max_late_command_s), [execute] { execute(); });
     co_return co_await no_answer();
   }
   auto answer = execute();
