Leases: an answer that renews one stops every cancelled task on the machine, for good, or not at all

Cause: the bound on renewals was only for leaders that may not know of a cancellation. For one that knows, the stop was taken for the end of the task: nothing bounded how long it renewed the lease of a machine on which stops did not, or could not yet, take effect. The same held for answers to outdated heartbeats, which renewed the lease without any stop.

Change: agent::complete_renewal is the one place that completes an answer that renews a lease, outdated heartbeats' too. Each attempt of a cancelled job that is not proved gone gets a stop, before all other commands, and a token above its direct starts; so does a shown task of a cancelled job that no record names. Where no such token is available, the answer is given only until B (design.md) after the time before which no user can have been told; then 503, and the machine's lease ends before cancel_s, as with a leader that does not know. Where a stop can take effect nothing is refused, so no other job's task is lost for it.

Changed check: the first heartbeat of an agent that does not obey yet is now answered with a stop of the absent cancelled task (FirstHeartbeat, before: no command); it may still start there, and a stop of an unknown attempt does nothing.

--- a/src/agent/heartbeat_handler.cpp
+++ b/src/agent/heartbeat_handler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agent/lease_renewal.hpp"
 #include "agent/start_permission.hpp"
 #include "metrics/metrics.hpp"
 
@@ -64,7 +65,7 @@
     // Rule 4: only messages with a newer (incarnation, sequence) count.
     if (machine_.is_outdated(heartbeat_.agent_incarnation, heartbeat_.sequence)) {
       result_.kind = HeartbeatResult::Kind::outdated;
-      return std::move(result_);
+      return std::move(*this).finish();
     }
     const auto& tokens = context_.tokens;
     if (heartbeat_.fencing_token > std::max(machine_.command_token(tokens), tokens.highest_available)) {
@@ -84,11 +85,34 @@
     check_cancelled_tasks();
     if (has_assignments || machine_.unrecorded_tasks > 0 || machine_.idle_since == core::TimePoint{})
       machine_.idle_since = context_.now;
+    return std::move(*this).finish();
+  }
+
+ private:
+  /// Completes the answer, which renews the agent's lease unless it is one to a direct command.
+  HeartbeatResult finish() && {
+    if (!context_.is_direct_answer) {
+      const auto refused = complete_renewal(context_, machine_, heartbeat_, result_.commands);
+      if (refused) {
+        result_.kind = HeartbeatResult::Kind::not_renewed;
+        if (!machine_.renewal_refused) log_refused_renewal(*refused);
+      }
+      machine_.renewal_refused = refused.has_value();
+    }
     if (result_.commands.size() > wire::kMaxCommands) result_.commands.resize(wire::kMaxCommands);
     return std::move(result_);
   }
 
- private:
+  void log_refused_renewal(const TaskAttempt& attempt) const {
+    const auto& [job, task, number] = attempt;
+    spdlog::warn(
+        "lease not renewed machine={} job={} task={} attempt={} start_fencing_token={} fencing_token={} "
+        "highest_available_token={} reason=cancelled_task_may_start",
+        machine_.name, context_.names.jobs.name(job), task, number,
+        machine_.direct_starts.token_of(attempt).value_or(0), machine_.command_token(context_.tokens),
+        context_.tokens.highest_available);
+  }
+
   /// Updates whether the agent receives messages of this controller. Compares with the previous heartbeat.
   void update_reachability() {
     if (machine_.has_heartbeat && heartbeat_.agent_incarnation > machine_.agent_incarnation) {
--- a/src/agent/heartbeat_handler.hpp
+++ b/src/agent/heartbeat_handler.hpp
@@ -38,13 +38,16 @@
   /// heartbeat may still be in flight, so a task that is missing here is not proved absent.
   bool is_direct_answer = false;
   double cancel_s = 0;  ///< by when tasks of a cancelled job must have ended
+  /// How long after a cancellation leases are renewed while one of its tasks may still be started.
+  double renewal_window_s = 0;
 };
 
 struct HeartbeatResult {
   enum class Kind {
     answer,      ///< 200 with the commands
-    outdated,    ///< older than a message already handled; answered without commands
+    outdated,    ///< older than a message already handled; answered with stops of cancelled tasks only
     superseded,  ///< the agent has seen a higher fencing token, so the partition has another leader
+    not_renewed  ///< not answered: a task of a cancelled job may still be started on the machine
   } kind = Kind::answer;
   std::vector<wire::Command> commands;  ///< at most wire::kMaxCommands
   bool exits_observed = false;          ///< exits were observed and have to be recorded
--- a/src/agent/machine.hpp
+++ b/src/agent/machine.hpp
@@ -69,6 +69,8 @@
   /// its tasks. They count once a message shows that it obeys a higher fencing token, which a probe brings.
   bool has_unconfirmed_ends = false;
 
+  bool renewal_refused = false;  ///< its last heartbeat was not answered, because of a cancelled task
+
   // --- Whether messages of this controller reach the agent.
   /// Time of the last probe. Probes go to agents that don't know this controller's fencing token or may be
   /// unreachable.
--- a/src/controller/controller_state.cpp
+++ b/src/controller/controller_state.cpp
@@ -148,7 +148,7 @@
   const bool starts_allowed = core::seconds_between(synchronized_at, now) < kMaxStateAgeToStartS;
   return agent::handle_heartbeat(
       {names, cache, fleet, job_failures, fencing_tokens(machine.partition), now, settings.agent_lease_s,
-       starts_allowed, is_direct_answer, settings.cancel_s},
+       starts_allowed, is_direct_answer, settings.cancel_s, settings.lease_renewal_window_s()},
       machine, heartbeat);
 }
 
--- a/src/gateway/agent_gateway.cpp
+++ b/src/gateway/agent_gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/heartbeat_routing.hpp"
 #include "gateway/responses.hpp"
+#include "metrics/metrics.hpp"
 #include "peer/messages.hpp"
 
 namespace finchrun::gateway {
@@ -24,6 +25,7 @@
   http::Response operator()(const LedElsewhere& elsewhere) const { return redirect_to(elsewhere.leader); }
   http::Response operator()(const NoLeader&) const { return retry_later("no owner"); }
   http::Response operator()(const CancellationsUnknown&) const {
+    metrics::count_refused_renewal("cancellations_unknown");
     return retry_later("no news from the state service");
   }
   http::Response operator()(const MachineDeleted&) const { return retry_later("machine was returned"); }
@@ -57,8 +59,12 @@
       return redirect_to(std::nullopt);
     }
     exits_observed = result.exits_observed;
-    // An outdated heartbeat changes nothing and is answered without commands. The answer to a direct command
-    // may have overtaken it, and a refusal would make its agent try all other controllers in turn.
+    if (result.kind == agent::HeartbeatResult::Kind::not_renewed) {
+      metrics::count_refused_renewal("cancelled_task_may_start");
+      return retry_later("a cancelled task may start");
+    }
+    // An outdated heartbeat changes nothing. The answer to a direct command may have overtaken it, and a
+    // refusal would make its agent try all other controllers in turn.
     return http::Response{http::status::kOk,
                           wire::render_commands(state.command_token(machine), result.commands)};
   });
--- a/tests/agent/heartbeat_handler_test.cpp
+++ b/tests/agent/heartbeat_handler_test.cpp
@@ -18,6 +18,7 @@
 // One partition, one machine "m" in incarnation 2, and one assignment: task 0, attempt 7 on "m". The
 // partition's fencing token is 50 at first; `available_token` is the highest that its leader may use.
 struct Fixture {
+  static constexpr double kCancelS = 30, kRenewalWindowS = 16.9;
   explicit Fixture(bool gang = false, std::uint32_t tasks = 1) : cache(add_names(names), 1, 1) {
     state::KeyUpdate job{"jobs/req-1", std::nullopt, 40};
     jobs::JobRecord record;
@@ -49,6 +50,7 @@
     jobs::JobRecord record = *cache.job(core::JobId{0});
     record.status = jobs::Status::cancelled;
     cache.apply({"jobs/req-1", jobs::to_json(record, names), 60});
+    fleet.cancellations.learn(core::JobId{0}, {.confirmed_after = now, .learned_at = now});
   }
   HeartbeatResult heartbeat(std::uint64_t agent_incarnation, std::uint64_t sequence,
                             std::uint64_t fencing_token, std::vector<wire::TaskStatus> tasks,
@@ -67,7 +69,9 @@
                              now,
                              10,
                              starts_allowed,
-                             is_direct_answer},
+                             is_direct_answer,
+                             kCancelS,
+                             kRenewalWindowS},
                             *machine, message);
   }
   jobs::Names names;
@@ -161,8 +165,13 @@
                            {Command::Kind::stop},
                            {}},
         FirstHeartbeatCase{"absent task of cancelled job has ended", true, 2, 50, {}, {}, {false}},
-        FirstHeartbeatCase{
-            "absent task of cancelled job may still start under an old token", true, 2, 10, {}, {}, {}},
+        FirstHeartbeatCase{"absent task of cancelled job may still start under an old token",
+                           true,
+                           2,
+                           10,
+                           {},
+                           {Command::Kind::stop},
+                           {}},
         FirstHeartbeatCase{"unrecorded attempt is stopped",
                            false,
                            2,
@@ -342,6 +351,96 @@
                                          DirectStartCase{"under_an_earlier_leaders_token", 49, 50, false}),
                          kCaseName);
 
+struct RenewalCase {
+  const char* name;
+  std::optional<std::uint64_t> start_token;  // of a direct start that may still arrive
+  std::uint64_t available_token;
+  double cancelled_s_ago;
+  bool outdated;
+  std::vector<wire::TaskStatus> tasks;
+  HeartbeatResult::Kind kind;
+};
+class RenewedLease : public testing::TestWithParam<RenewalCase> {};
+// Guards against a cancelled task that runs on, or starts, under a lease that a leader renews which knows of
+// the cancellation.
+TEST_P(RenewedLease, DoesNotOutlastACancellationUnlessItsTaskIsStoppedForGood) {
+  const auto& c = GetParam();
+  Fixture fixture;
+  fixture.available_token = c.available_token;
+  fixture.cancel();
+  fixture.now += core::to_duration(c.cancelled_s_ago);
+  if (c.start_token) fixture.machine->direct_starts.record(kAttempt, *c.start_token, 2, fixture.now);
+  if (c.outdated) fixture.heartbeat(2, 20, 50, {task_status(7, TaskState::running)}, true);
+  const auto result = fixture.heartbeat(2, 10, 50, c.tasks);
+  EXPECT_EQ(result.kind, c.kind);
+  EXPECT_EQ(kinds(result), Kinds{Command::Kind::stop});
+  const bool voids_start = fixture.machine->command_token({50, 50}) > c.start_token.value_or(0);
+  EXPECT_EQ(voids_start, !c.start_token || c.available_token > *c.start_token);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, RenewedLease,
+    testing::Values(
+        RenewalCase{"shown_task_is_stopped",
+                    std::nullopt,
+                    50,
+                    100,
+                    false,
+                    {task_status(7, TaskState::running)},
+                    HeartbeatResult::Kind::answer},
+        RenewalCase{"start_is_made_void", 50, 60, 100, false, {}, HeartbeatResult::Kind::answer},
+        RenewalCase{
+            "start_may_come_within_the_window", 50, 50, 16.8, false, {}, HeartbeatResult::Kind::answer},
+        RenewalCase{
+            "start_may_come_after_the_window", 50, 50, 17, false, {}, HeartbeatResult::Kind::not_renewed},
+        RenewalCase{"outdated_heartbeat_with_a_recorded_task",
+                    std::nullopt,
+                    50,
+                    100,
+                    true,
+                    {},
+                    HeartbeatResult::Kind::outdated},
+        RenewalCase{
+            "outdated_heartbeat_start_is_made_void", 50, 60, 100, true, {}, HeartbeatResult::Kind::outdated},
+        RenewalCase{
+            "outdated_heartbeat_start_may_come", 50, 50, 100, true, {}, HeartbeatResult::Kind::not_renewed}),
+    kCaseName);
+
+// A task that no record names is stopped by an outdated heartbeat's answer too.
+TEST(HeartbeatHandler, StopsAnUnrecordedTaskOfACancelledJobThatAnOutdatedHeartbeatShows) {
+  Fixture fixture;
+  fixture.set_assignments({}, 42);
+  fixture.cancel();
+  fixture.heartbeat(2, 20, 50, {}, true);
+  const auto result = fixture.heartbeat(2, 10, 50, {task_status(3, TaskState::running)});
+  EXPECT_EQ(kinds(result), Kinds{Command::Kind::stop});
+}
+
+struct OverdueCase {
+  const char* name;
+  double seen_s;  // after the cancellation was learnt
+  bool is_direct_answer;
+  TaskState state;
+  int reports;
+};
+class OverdueTask : public testing::TestWithParam<OverdueCase> {};
+TEST_P(OverdueTask, IsReportedIfItCertainlyRanOnTooLong) {
+  const auto& c = GetParam();
+  Fixture fixture;
+  fixture.cancel();
+  fixture.now += core::to_duration(c.seen_s);
+  const core::CapturedLog log;
+  fixture.heartbeat(2, 20, 50, {task_status(7, c.state)}, c.is_direct_answer);
+  EXPECT_EQ(log.count("invariant violated rule=ran_cancelled"), c.reports);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, OverdueTask,
+    testing::Values(OverdueCase{"in_time", 32.9, true, TaskState::running, 0},
+                    OverdueCase{"too_late", 33.1, true, TaskState::running, 1},
+                    OverdueCase{"too_late_without_its_image", 33.1, true, TaskState::fetching, 0},
+                    OverdueCase{"ended", 33.1, true, TaskState::ended, 0},
+                    OverdueCase{"heartbeat_that_may_be_late", 33.1, false, TaskState::running, 0}),
+    kCaseName);
+
 struct ForgetCase {
   const char* name;
   std::uint64_t start_token;  // 0: no direct start was sent
--- a/tests/app/fault_scenarios.hpp
+++ b/tests/app/fault_scenarios.hpp
@@ -29,6 +29,15 @@
   }
 }
 
+// Returns true if the transaction writes assignments.
+inline bool places_something(const json::object& transaction) {
+  const auto& writes = transaction.at("then").as_array();
+  return std::any_of(writes.begin(), writes.end(), [](const json::value& write) {
+    const auto* key = write.as_object().if_contains("set");
+    return key && key->as_string().starts_with("runs/");
+  });
+}
+
 inline std::size_t finished_job_count(const Cluster& cluster) {
   std::size_t count = 0;
   for (const auto& [_, job] : cluster.jobs) count += job.reported_done || job.reported_cancelled_at ? 1 : 0;
--- a/tests/controller/controller_state_test.cpp
+++ b/tests/controller/controller_state_test.cpp
@@ -153,6 +153,31 @@
                     RenewalCase{"one_peer_answered_before_the_newest_read", 100, {50, 190}, 116.8, true}),
     kCaseName);
 
+// Guards against a bound on a lease that is counted from the time at which a cancellation was read again.
+TEST(ControllerState, CancellationIsConfirmedAfterTheTimeBeforeWhichAllWereKnown) {
+  auto changed_settings = settings();
+  changed_settings.controller_count = 2;  // the other one is not named: only reads count
+  SinglePartition leader(changed_settings);
+  auto& state = leader.state;
+  const auto at = [](double seconds) { return core::TimePoint(core::to_duration(seconds)); };
+  const auto job = leader.job("req-1", 1, false);
+  auto record = *state.cache.job(job);
+  record.status = jobs::Status::cancelled;
+  const auto value = jobs::to_json(record, state.names);
+  state.synchronized_at = at(100);
+  state.cache.apply({"jobs/req-1", value, 70});
+  state.learn_cancellations(agent::CancellationSource::announcement, at(103));
+  state.synchronized_at = at(200);
+  state.cache.reset();
+  state.cache.apply({"jobs/req-1", value, 70});
+  state.learn_cancellations(agent::CancellationSource::load, at(203));
+  const auto* known = state.fleet.cancellations.find(job);
+  ASSERT_TRUE(known);
+  EXPECT_EQ(known->confirmed_after, at(100));
+  EXPECT_EQ(known->learned_at, at(103));
+  EXPECT_EQ(known->source, agent::CancellationSource::announcement);
+}
+
 TEST(ControllerState, LeadsOnlyAfterReadingTheRecordsOfEarlierLeaders) {
   ControllerState state(settings(), {});
   state.cache_loaded = true;
