Cancellations: the list for other controllers knows what it has dropped, in whatever order it was read

What could happen: each controller keeps the newest 4,096 cancellations for the others, and the revision up to which it dropped older ones. An answer to a ping counts as complete only for who has read up to there; leases rest on that in an outage. When all records are read anew, they come in the order of their keys, and the mark was set back to whatever was dropped last. A controller that had read less was then told that the list was complete, and renewed leases of tasks whose cancellations it lacked.

Change: the mark only rises.

Evidence: StateCache.KnowsWhichCancellationsItHasDroppedIfTheyAreReadInAnyOrder failed before, passes now.

--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -1,5 +1,7 @@
 #include "state/job_table.hpp"
 
+#include <algorithm>
+
 namespace finchrun::state {
 
 void JobTable::apply(core::JobId id, const KeyUpdate& update) {
@@ -28,7 +30,8 @@
   new_cancellations_.push_back(id);
   cancelled_.emplace(revision, id);
   if (cancelled_.size() <= kMaxCancellations) return;
-  cancellations_dropped_up_to_ = cancelled_.begin()->first;
+  // After a reset the records are read in the order of their keys.
+  cancellations_dropped_up_to_ = std::max(cancellations_dropped_up_to_, cancelled_.begin()->first);
   cancelled_.erase(cancelled_.begin());
 }
 
--- a/tests/state/state_cache_test.cpp
+++ b/tests/state/state_cache_test.cpp
@@ -83,6 +83,22 @@
   EXPECT_EQ(fixture.cache.cancelled_after(19)->size(), 4096u);
 }
 
+// Guards against an answer to a ping that counts as complete although it lacks dropped cancellations: all
+// records are read in the order of their keys.
+TEST(StateCache, KnowsWhichCancellationsItHasDroppedIfTheyAreReadInAnyOrder) {
+  constexpr std::uint64_t kKept = 4096, kNewest = 10000;
+  CacheFixture fixture;
+  const auto cancel = [&](std::uint64_t revision) {
+    fixture.cache.apply({"jobs/req-" + std::to_string(revision),
+                         parse(R"({"st":"cancelled","n":1,"team":"red","need":[1,0,1]})"), revision});
+  };
+  for (std::uint64_t revision = kNewest - kKept; revision <= kNewest; ++revision) cancel(revision);
+  cancel(5);
+  EXPECT_FALSE(fixture.cache.cancelled_after(6));
+  EXPECT_FALSE(fixture.cache.cancelled_after(kNewest - kKept - 1));
+  EXPECT_TRUE(fixture.cache.cancelled_after(kNewest - kKept));
+}
+
 TEST(StateCache, UpdatesAssignmentsByMachineWithEachRecord) {
   CacheFixture fixture;
   fixture.cache.apply({"runs/a.0/0", shard(kPlaced), 10});
