Soak: faults longer than cancel_s, drawn agents' times, held commands, cancellations at all controllers

Need: cancel_s was 20 s and no fault lasted longer than 12 s, though a comment said so, so no overrun could be seen; few jobs were cancelled, each at one controller, and direct commands were at most 16 s late.

Change: agents' times from the seed (lease and cancel_s 8 and 20, 9 and 14, 7.6 and 17.6, 6 and 10.2 s); a quarter of the faults outlasts cancel_s, others fall below a lease; a third of the tasks outlives both; cancellations at all controllers at once, many within half a second, with a question at another controller right after; all direct commands held and released in order; the store refuses the leader alone, others confirm, then it is out for all while one controller ends, stands still or loses the others; a new leader whose first starts are held while their jobs are cancelled and the store stops.

--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -7,8 +7,9 @@
 namespace finchrun::soak {
 namespace {
 
-constexpr double kFirstFaultS = 6;  // the controllers have elected leaders by then
-constexpr double kLongestFaultS = 12;
+constexpr double kFirstFaultS = 6;     // the controllers have elected leaders by then
+constexpr double kLongestFaultS = 12;  // of those that are not drawn to outlast a cancellation
+constexpr double kMaxExcessS = 6;      // of a fault over the time that a cancellation may take
 constexpr double kJobsPerMachine = 6;  // submitted while faults last
 constexpr double kMaxTasks = 6;
 constexpr std::size_t kFaultKinds = 6;  // of one seed, which then overlap
@@ -23,6 +24,25 @@
   return std::uniform_real_distribution<double>(from_s, to_s)(random_);
 }
 
+double FaultSchedule::at_most_the_rest(double duration_s) const {
+  const double rest_s = core::seconds_between(core::SteadyClock::now(), deployment_.faults_over_at) - 1;
+  return std::clamp(duration_s, 0.1, std::max(0.1, rest_s));
+}
+
+double FaultSchedule::fault_s() {
+  const double lease_s = deployment_.agent_lease_s();
+  switch (pick(4)) {
+    case 0:
+      return at_most_the_rest(random_s(0.5, 3));
+    case 1:
+      return at_most_the_rest(random_s(3, lease_s));
+    case 2:
+      return at_most_the_rest(random_s(1, kLongestFaultS));
+    default:
+      return at_most_the_rest(deployment_.cancel_s() + random_s(1, kMaxExcessS));
+  }
+}
+
 void FaultSchedule::at_random_time(std::function<void()> action) {
   const double last_s = std::max(kFirstFaultS + 1, options_.duration_s - kLongestFaultS);
   deployment_.after(random_s(kFirstFaultS, last_s), std::move(action));
@@ -52,7 +72,7 @@
   const int jobs = static_cast<int>(kJobsPerMachine * options_.machines);
   for (int i = 0; i < jobs; ++i)
     deployment_.after(random_s(1, options_.duration_s - 1), [this] { submit_a_job(); });
-  for (int i = 0; i < jobs / 5; ++i) at_random_time([this] { cancel_a_job(); });
+  for (int i = 0; i < jobs / 3; ++i) at_random_time([this] { cancel_a_job(); });
   for (int i = 0; i < jobs; ++i)
     deployment_.after(random_s(2, options_.duration_s), [this] { look_closely(); });
   // Copies of direct commands that were carried out, all the time.
@@ -65,8 +85,11 @@
   const bool gang = pick(3) == 0;
   const int tasks = 1 + static_cast<int>(pick(static_cast<std::size_t>(kMaxTasks)));
   const double gpus = gang ? 2 : 1 + static_cast<double>(pick(2));
-  deployment_.submit(gang ? std::min(tasks, 4) : tasks, gang, gpus, random_s(1, 15), pick(2) ? "red" : "blue",
+  // Some tasks outlast a cancellation and the faults that meet it.
+  const double run_s = pick(3) == 0 ? 2 * (deployment_.cancel_s() + kMaxExcessS) : random_s(1, 15);
+  deployment_.submit(gang ? std::min(tasks, 4) : tasks, gang, gpus, run_s, pick(2) ? "red" : "blue",
                      kPriorities[pick(std::size(kPriorities))], pick(3) == 0);
+  if (pick(2) == 0) deployment_.jobs.rbegin()->second.image_pull_s = 0;  // machines have the image
 }
 
 void FaultSchedule::cancel_a_job() {
@@ -74,7 +97,33 @@
   for (const auto& [id, job] : deployment_.jobs)
     if (job.accepted && !job.cancellation_requested && job.completed.size() < job.tasks)
       unfinished.push_back(id);
-  if (!unfinished.empty()) deployment_.cancel(unfinished[pick(unfinished.size())]);
+  if (!unfinished.empty()) cancel(unfinished[pick(unfinished.size())]);
+}
+
+void FaultSchedule::cancel_the_newest_job() {
+  for (auto job = deployment_.jobs.rbegin(); job != deployment_.jobs.rend(); ++job)
+    if (job->second.accepted && !job->second.cancellation_requested) return cancel(job->first);
+}
+
+// At one controller, or at all of them at once, with a question at another one right after it.
+void FaultSchedule::cancel(const std::string& id) {
+  deployment_.cancel(id);
+  if (pick(3) > 0) return;
+  for (std::size_t n = 0; n < deployment_.controller_count(); ++n)
+    deployment_.request_once(
+        n, "POST", "/submissions/" + id + "/abort", "", [this, id](int status, const std::string& body) {
+          auto& job = deployment_.jobs.at(id);
+          if (status == http::status::kNotFound) deployment_.violations.push_back("forgotten " + id);
+          const bool cancelled = status == http::status::kOk && body.find("cancelled") != std::string::npos;
+          if (cancelled && !job.reported_cancelled_at) job.reported_cancelled_at = core::SteadyClock::now();
+        });
+  deployment_.after(random_s(0, 0.3), [this, id] {
+    deployment_.request_once(pick(deployment_.controller_count()), "GET", "/submissions/" + id, "",
+                             [this, id](int status, const std::string&) {
+                               if (status == http::status::kNotFound)
+                                 deployment_.violations.push_back("forgotten " + id);
+                             });
+  });
 }
 
 // Asks all controllers about a job at once, repeats its submission, and asks about a job that nobody has
@@ -111,6 +160,7 @@
   sometimes(faults.request_loss_probability, 0.02);
   sometimes(faults.late_write_probability, 0.02);
   faults.max_duplicate_delay_s = options_.duration_s / 2;
+  if (pick(2) == 0) faults.max_late_command_s = deployment_.cancel_s() + kMaxExcessS;
   deployment_.log_fault(fmt::format(
       "probabilities: late command {:.3f}, slow response {:.3f}, heartbeat copy {:.3f}, repeated request "
       "{:.3f}, lost "
@@ -151,7 +201,17 @@
   if (of_a_controller) return inject_controller_fault(fault);
   switch (fault) {
     case Fault::stop_the_store:
-      return stop_the_store();
+      return stop_the_store(fault_s());
+    case Fault::cancel_many:
+      for (int i = 0; i < options_.machines; ++i)
+        deployment_.after(random_s(0, 0.5), [this] { cancel_a_job(); });
+      return deployment_.log_fault("many cancellations");
+    case Fault::hold_commands:
+      return deployment_.hold_commands(fault_s());
+    case Fault::refuse_the_leader_then_stop_the_store:
+      return refuse_the_leader_then_stop_the_store();
+    case Fault::cancel_at_a_new_leader:
+      return cancel_at_a_new_leader();
     case Fault::refuse_deletions:
       return refuse_deletions();
     case Fault::old_lists:
@@ -183,25 +243,25 @@
                           [this] { deployment_.kill_controller(deployment_.busiest_leader(), kInstantS); });
       return;
     case Fault::pause:
-      return deployment_.pause_controller(controller, random_s(0.5, kLongestFaultS));
+      return deployment_.pause_controller(controller, fault_s());
     case Fault::refuse_by_store:
       deployment_.log_fault(fmt::format("store refuses perch-{}", controller));
       deployment_.refused_by_store.insert(controller);
-      return deployment_.after(random_s(1, kLongestFaultS),
+      return deployment_.after(fault_s(),
                                [this, controller] { deployment_.refused_by_store.erase(controller); });
     case Fault::cut_from_store:
     case Fault::cut_from_store_and_peers:
       return cut(controller, fault == Fault::cut_from_store_and_peers);
     case Fault::hold_peer_links:
       return deployment_.hold_peer_links(controller, static_cast<RealDeployment::LinkDirections>(pick(3)),
-                                         random_s(1, kLongestFaultS));
+                                         fault_s());
     default:
       return deployment_.reset_peer_links(controller);
   }
 }
 
 void FaultSchedule::cut(std::size_t controller, bool from_peers) {
-  const double duration_s = random_s(1, kLongestFaultS);
+  const double duration_s = fault_s();
   const std::pair link{controller, std::string("state")};
   deployment_.log_fault(fmt::format("cut perch-{} from the store for {:.1f} s", controller, duration_s));
   deployment_.blocked_links.insert(link);
@@ -209,10 +269,54 @@
   if (from_peers) deployment_.hold_peer_links(controller, RealDeployment::LinkDirections::both, duration_s);
 }
 
-// At times for longer than a cancellation may take.
-void FaultSchedule::stop_the_store() {
+// The store refuses the leader alone while other controllers confirm cancellations, then fails for all. One
+// controller may end, stand still or lose the others meanwhile.
+void FaultSchedule::refuse_the_leader_then_stop_the_store() {
+  const auto leader = deployment_.busiest_leader();
+  deployment_.log_fault(fmt::format("store refuses perch-{} before it stops", leader));
+  deployment_.refused_by_store.insert(leader);
+  for (int i = 0; i < 6; ++i) deployment_.after(random_s(0, 1.2), [this] { cancel_a_job(); });
+  deployment_.after(random_s(0.8, 1.2), [this] {
+    stop_the_store(at_most_the_rest(deployment_.cancel_s() + random_s(1, kMaxExcessS)));
+  });
+  deployment_.after(random_s(2, 10), [this, leader] { deployment_.refused_by_store.erase(leader); });
+  const auto other = pick(deployment_.controller_count());
+  deployment_.after(random_s(0.5, 6), [this, other] {
+    constexpr double kInstantS = 0.3;
+    switch (pick(4)) {
+      case 0:
+        return deployment_.kill_controller(other, kInstantS);
+      case 1:
+        return deployment_.pause_controller(other, fault_s());
+      case 2:
+        return deployment_.hold_peer_links(other, RealDeployment::LinkDirections::both, fault_s());
+      default:
+        return;
+    }
+  });
+}
+
+// A leader is back at once, and as it places its first tasks, their jobs are cancelled and the store stops:
+// it may have no fencing token above those of their starts, which are held up.
+void FaultSchedule::cancel_at_a_new_leader() {
+  if (deployment_.store.outage || deployment_.on_commit) return;
+  constexpr double kInstantS = 0.3;
+  deployment_.kill_controller(deployment_.busiest_leader(), kInstantS);
+  for (int i = 0; i < 3; ++i) submit_a_job();
+  deployment_.on_commit = [this](const sim::json::object& transaction) {
+    if (sim::json::serialize(transaction.at("then")).find("runs/") == std::string::npos) return;
+    deployment_.after(0, [this] { deployment_.on_commit = nullptr; });
+    deployment_.hold_commands(at_most_the_rest(deployment_.cancel_s() + random_s(1, kMaxExcessS)));
+    deployment_.faults.slow_read_delay_s = random_s(0.2, 0.6);
+    deployment_.recover_store();
+    for (int i = 0; i < 3; ++i) deployment_.after(random_s(0.01, 0.1), [this] { cancel_the_newest_job(); });
+    deployment_.after(random_s(0.1, 0.3),
+                      [this] { stop_the_store(at_most_the_rest(deployment_.cancel_s() + 2 * kMaxExcessS)); });
+  };
+}
+
+void FaultSchedule::stop_the_store(double duration_s) {
   if (deployment_.store.outage) return;
-  const double duration_s = random_s(1, kLongestFaultS);
   deployment_.log_fault(fmt::format("store outage of {:.1f} s", duration_s));
   deployment_.store.outage = true;
   deployment_.faults.slow_read_delay_s = random_s(0, 0.5);
@@ -233,7 +337,7 @@
       return restart_machine(*agent);
     case Fault::hang_machine:
       deployment_.log_fault("hang " + agent->name);
-      return deployment_.suspend(*agent, random_s(1, kLongestFaultS));
+      return deployment_.suspend(*agent, fault_s());
     case Fault::mute_machine:
       return block_machine(&sim::Agent::outbound_blocked, "mute ");
     case Fault::deaf_machine:
@@ -280,7 +384,7 @@
   if (!agent) return;
   deployment_.log_fault(name + agent->name);
   agent->*direction = true;
-  deployment_.after(random_s(1, kLongestFaultS), [this, direction, machine = agent->name] {
+  deployment_.after(fault_s(), [this, direction, machine = agent->name] {
     const auto found = deployment_.agents.find(machine);
     if (found != deployment_.agents.end()) found->second.*direction = false;
   });
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -39,25 +39,37 @@
     lose_ended_tasks,
     preempt_and_cancel,
     kill_in_series,
+    cancel_many,
+    hold_commands,
+    refuse_the_leader_then_stop_the_store,
+    cancel_at_a_new_leader,
     count,
   };
   void plan_work();
   void submit_a_job();
   void look_closely();
   void cancel_a_job();
+  void cancel_the_newest_job();
+  void cancel(const std::string& id);
   void plan_network_faults();
   /// Injects faults of these kinds within seconds of one another; those of machines hit the same machine.
   void inject_burst(const std::vector<Fault>& kinds);
   void inject(Fault fault);
   void inject_controller_fault(Fault fault);
   void inject_machine_fault(Fault fault);
-  void stop_the_store();
+  void stop_the_store(double duration_s);
+  void refuse_the_leader_then_stop_the_store();
+  void cancel_at_a_new_leader();
   void cut(std::size_t controller, bool from_peers);
   void refuse_deletions();
   void lose_ended_tasks();
   void block_machine(bool sim::Agent::*direction, const char* name);
 
   [[nodiscard]] double random_s(double from_s, double to_s);
+  /// A duration that is short, below an agent's lease, or longer than a cancellation may take. It ends with
+  /// the faults at the latest.
+  [[nodiscard]] double fault_s();
+  [[nodiscard]] double at_most_the_rest(double duration_s) const;
   [[nodiscard]] std::size_t pick(std::size_t size) { return random_() % size; }
   void at_random_time(std::function<void()> action);
   [[nodiscard]] sim::Agent* busy_agent();
--- a/tests/soak/real_deployment.cpp
+++ b/tests/soak/real_deployment.cpp
@@ -57,9 +57,7 @@
   settings_.zones = {"a", "b"};
   settings_.controller_count = options.controllers;
   settings_.teams = {{"red", 0, 0, gpus / 3, gpus * kRedShare}, {"blue", 0, 0, gpus / 3, gpus * kBlueShare}};
-  settings_.heartbeat_interval_s = 1;
-  settings_.agent_lease_s = 8;
-  settings_.cancel_s = 20;
+  draw_agent_times();
   settings_.gang_peer_s = 4;
   settings_.store_limits.requests_per_s = 400;
   settings_.store_limits.writes_per_s = 80;
@@ -75,6 +73,17 @@
   for (int i = 0; i < options.machines; ++i) cloud.add_machine(i % 2 == 0 ? "a" : "b", now_, 0);
 }
 
+// A time without pressure, the two ratios of the deployments, and little more than settings allow.
+void RealDeployment::draw_agent_times() {
+  static constexpr sim::AgentTiming kTimings[] = {{1, 8, 20}, {1.5, 9, 14}, {1, 7.6, 17.6}, {0.7, 6, 10.2}};
+  const auto& timing = kTimings[random() % std::size(kTimings)];
+  settings_.heartbeat_interval_s = timing.heartbeat_interval_s;
+  settings_.agent_lease_s = timing.agent_lease_s;
+  settings_.cancel_s = timing.cancel_s;
+  log_fault(fmt::format("agents: heartbeats each {} s, lease {} s, cancellations within {} s",
+                        timing.heartbeat_interval_s, timing.agent_lease_s, timing.cancel_s));
+}
+
 config::Endpoint RealDeployment::next_endpoint() { return {host_, next_port_++}; }
 
 std::string RealDeployment::listen_for_agent(int number) {
@@ -214,6 +223,8 @@
   if (blocked_links.contains(link) || chance(faults.request_loss_probability)) co_return co_await no_answer();
   if (refused_by_store.contains(controller))
     co_return http::Response{http::status::kServiceUnavailable, "{}"};
+  if (request.target == "/commit" && on_commit && !store.outage)
+    on_commit(sim::json::parse(request.body).as_object());
   const auto execute = [this, verb, target = request.target, body = request.body] {
     return store.handle(verb, target, body, now_);
   };
@@ -258,6 +269,10 @@
   const auto found = agents.find(machine);
   if (found == agents.end() || found->second.inbound_blocked || chance(faults.request_loss_probability))
     co_return co_await no_answer();
+  if (now_ < commands_held_until_) {
+    post(core::seconds_between(now_, commands_held_until_), [execute] { execute(); });
+    co_return co_await no_answer();
+  }
   if (chance(faults.late_command_probability)) {
     post(random_s(kMinLateS, faults.max_late_command_s), [execute] { execute(); });
     co_return co_await no_answer();
@@ -321,6 +336,11 @@
   }
 }
 
+void RealDeployment::hold_commands(double duration_s) {
+  log_fault(fmt::format("hold direct commands for {:.1f} s", duration_s));
+  commands_held_until_ = std::max(commands_held_until_, now_ + core::to_duration(duration_s));
+}
+
 std::string RealDeployment::time_text() const {
   return fmt::format("{:8.3f}", core::seconds_between(started_at_, core::SteadyClock::now()));
 }
--- a/tests/soak/real_deployment.hpp
+++ b/tests/soak/real_deployment.hpp
@@ -32,7 +32,15 @@
   enum class LinkDirections { both, requests, answers };
   void hold_peer_links(std::size_t controller, LinkDirections directions, double duration_s);
   void reset_peer_links(std::size_t controller);
+  /// Keeps back the direct commands to all machines. They are executed in order afterwards; nobody waits for
+  /// their answers.
+  void hold_commands(double duration_s);
+  /// Called with each transaction that reaches the store, before it is executed.
+  std::function<void(const sim::json::object&)> on_commit;
 
+  /// By when tasks of a cancelled job must have ended, and the agents' lease; drawn from the seed.
+  [[nodiscard]] double cancel_s() const { return settings_.cancel_s; }
+  [[nodiscard]] double agent_lease_s() const { return settings_.agent_lease_s; }
   [[nodiscard]] std::size_t controller_count() const override { return controllers_.size(); }
   /// Runs the event loop for this long, in real time.
   void run(double seconds);
@@ -56,6 +64,7 @@
   void send_request(std::size_t controller, http::Request request,
                     std::function<void(std::optional<http::Response>)> done, double timeout_s) override;
   void set_up_deployment(const Options& options);
+  void draw_agent_times();
   void start_controllers(const Options& options, const std::filesystem::path& folder);
   [[nodiscard]] std::string settings_of(std::size_t controller) const;
   asio::awaitable<void> call(std::size_t controller, http::Request request,
@@ -76,6 +85,7 @@
   std::shared_ptr<core::SocketDeadlines> deadlines_;
   std::vector<Controller> controllers_;
   core::TimePoint started_at_;
+  core::TimePoint commands_held_until_{};
   std::string host_;  // loopback address of this process alone
   std::uint16_t next_port_;
   double longest_stall_s_ = 0;
