Soak: two meetings a seed in which a leader knows little of cancellations

Change: the store refuses the leader and its links are held from the same moment on, for 3 to 5 s or longer than cancel_s, at times with what was held lost; jobs with running tasks that outlast cancel_s are cancelled; seven of eight other faults wait meanwhile. A new leader's reads are slow from its record on, so that its first starts have no token above them.

--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -52,10 +52,19 @@
   deployment_.faults_over_at = core::SteadyClock::now() + core::to_duration(options_.duration_s);
   plan_work();
   plan_network_faults();
-  // A process or a machine is back at once in every seed; other faults meet that.
+  // A process or a machine is back at once in every seed; other faults meet
+  // that.
   std::vector<Fault> kinds{Fault::kill, Fault::restart_machine, Fault::lose_ended_tasks};
   while (kinds.size() < kFaultKinds)
     kinds.push_back(static_cast<Fault>(pick(static_cast<std::size_t>(Fault::count))));
+  // Each seed has two meetings in which a leader knows little of cancellations, with time for them to matter.
+  const double half_s = options_.duration_s / 2;
+  for (const double from_s : {kFirstFaultS, half_s}) {
+    const bool refused = pick(3) > 0;
+    deployment_.after(random_s(from_s, from_s + half_s / 4), [this, refused] {
+      refused ? refuse_the_leader_then_stop_the_store() : cancel_at_a_new_leader();
+    });
+  }
   const auto bursts = static_cast<int>(options_.duration_s / kBurstIntervalS);
   for (int i = 0; i < bursts; ++i) at_random_time([this, kinds] { inject_burst(kinds); });
 }
@@ -100,12 +109,24 @@
   if (!unfinished.empty()) cancel(unfinished[pick(unfinished.size())]);
 }
 
+void FaultSchedule::cancel_a_long_running_job() {
+  std::vector<std::string> running;
+  for (const auto& [_, agent] : deployment_.agents)
+    for (const auto& [key, task] : agent.tasks) {
+      const auto& job = deployment_.jobs.at(key.first);
+      const bool is_long = job.run_s > deployment_.cancel_s() && task.state == "running";
+      if (is_long && job.accepted && !job.cancellation_requested) running.push_back(key.first);
+    }
+  if (!running.empty()) cancel(running[pick(running.size())]);
+}
+
 void FaultSchedule::cancel_the_newest_job() {
   for (auto job = deployment_.jobs.rbegin(); job != deployment_.jobs.rend(); ++job)
     if (job->second.accepted && !job->second.cancellation_requested) return cancel(job->first);
 }
 
-// At one controller, or at all of them at once, with a question at another one right after it.
+// At one controller, or at all of them at once, with a question at another one
+// right after it.
 void FaultSchedule::cancel(const std::string& id) {
   deployment_.cancel(id);
   if (pick(3) > 0) return;
@@ -126,8 +147,8 @@
   });
 }
 
-// Asks all controllers about a job at once, repeats its submission, and asks about a job that nobody has
-// submitted.
+// Asks all controllers about a job at once, repeats its submission, and asks
+// about a job that nobody has submitted.
 void FaultSchedule::look_closely() {
   deployment_.ask_about_an_unknown_job(pick(deployment_.controller_count()));
   if (deployment_.jobs.empty()) return;
@@ -162,7 +183,8 @@
   faults.max_duplicate_delay_s = options_.duration_s / 2;
   if (pick(2) == 0) faults.max_late_command_s = deployment_.cancel_s() + kMaxExcessS;
   deployment_.log_fault(fmt::format(
-      "probabilities: late command {:.3f}, slow response {:.3f}, heartbeat copy {:.3f}, repeated request "
+      "probabilities: late command {:.3f}, slow response {:.3f}, heartbeat "
+      "copy {:.3f}, repeated request "
       "{:.3f}, lost "
       "response {:.3f}, lost request {:.3f}, late write {:.3f}",
       faults.late_command_probability, faults.slow_response_probability,
@@ -196,7 +218,13 @@
     deployment_.after(delay_s, [this] { deployment_.repeat_commands(); });
 }
 
+void FaultSchedule::begin_meeting() {
+  meeting_until_ = core::SteadyClock::now() + core::to_duration(deployment_.cancel_s() + kMaxExcessS);
+}
+
 void FaultSchedule::inject(Fault fault) {
+  // Most others would end what the meeting is about, such as the leader.
+  if (core::SteadyClock::now() < meeting_until_ && pick(8) > 0) return;
   const bool of_a_controller = fault <= Fault::reset_peer_links || fault == Fault::kill_in_series;
   if (of_a_controller) return inject_controller_fault(fault);
   switch (fault) {
@@ -269,50 +297,69 @@
   if (from_peers) deployment_.hold_peer_links(controller, RealDeployment::LinkDirections::both, duration_s);
 }
 
-// The store refuses the leader alone while other controllers confirm cancellations, then fails for all. One
-// controller may end, stand still or lose the others meanwhile.
+// The store refuses the leader alone, which may hear of no cancellation, others
+// confirm some, then the store is out for all. The others may be back without
+// what they knew before the leader can ask them.
 void FaultSchedule::refuse_the_leader_then_stop_the_store() {
+  if (deployment_.store.outage) return;
+  constexpr double kInstantS = 0.3;
+  begin_meeting();
   const auto leader = deployment_.busiest_leader();
   deployment_.log_fault(fmt::format("store refuses perch-{} before it stops", leader));
   deployment_.refused_by_store.insert(leader);
-  for (int i = 0; i < 6; ++i) deployment_.after(random_s(0, 1.2), [this] { cancel_a_job(); });
+  // What is kept back is lost at times, so that the leader learns nothing by it
+  // later.
+  const double cut_s = pick(2) == 0 ? random_s(3, 5) : at_most_the_rest(deployment_.cancel_s() + kMaxExcessS);
+  deployment_.hold_peer_links(leader, RealDeployment::LinkDirections::both, cut_s);
+  if (pick(3) > 0) deployment_.after(cut_s - 0.1, [this, leader] { deployment_.reset_peer_links(leader); });
+  for (int i = 0; i < 8; ++i) deployment_.after(random_s(0, 1.2), [this] { cancel_a_long_running_job(); });
   deployment_.after(random_s(0.8, 1.2), [this] {
     stop_the_store(at_most_the_rest(deployment_.cancel_s() + random_s(1, kMaxExcessS)));
   });
   deployment_.after(random_s(2, 10), [this, leader] { deployment_.refused_by_store.erase(leader); });
-  const auto other = pick(deployment_.controller_count());
-  deployment_.after(random_s(0.5, 6), [this, other] {
-    constexpr double kInstantS = 0.3;
-    switch (pick(4)) {
-      case 0:
-        return deployment_.kill_controller(other, kInstantS);
-      case 1:
-        return deployment_.pause_controller(other, fault_s());
-      case 2:
-        return deployment_.hold_peer_links(other, RealDeployment::LinkDirections::both, fault_s());
-      default:
-        return;
-    }
-  });
+  const auto trouble = pick(4);
+  for (std::size_t n = 0; n < deployment_.controller_count(); ++n) {
+    if (n == leader || (trouble > 0 && pick(2) == 0)) continue;
+    deployment_.after(random_s(1.5, 2.5), [this, n, trouble] {
+      if (trouble < 2) return deployment_.kill_controller(n, kInstantS);
+      if (trouble == 2) return deployment_.pause_controller(n, fault_s());
+    });
+  }
 }
 
-// A leader is back at once, and as it places its first tasks, their jobs are cancelled and the store stops:
-// it may have no fencing token above those of their starts, which are held up.
+// A leader is back at once, and as it places its first tasks, their jobs are
+// cancelled and the store stops: it may have no fencing token above those of
+// their starts, which are held up.
 void FaultSchedule::cancel_at_a_new_leader() {
   if (deployment_.store.outage || deployment_.on_commit) return;
-  constexpr double kInstantS = 0.3;
-  deployment_.kill_controller(deployment_.busiest_leader(), kInstantS);
+  constexpr double kInstantS = 0.3, kFirstReadS = 0.03;
+  begin_meeting();
+  const std::string partition = pick(2) == 0 ? "a.0" : "b.0";
+  deployment_.kill_controller(deployment_.leader_of(partition), kInstantS);
   for (int i = 0; i < 3; ++i) submit_a_job();
-  deployment_.on_commit = [this](const sim::json::object& transaction) {
-    if (sim::json::serialize(transaction.at("then")).find("runs/") == std::string::npos) return;
-    deployment_.after(0, [this] { deployment_.on_commit = nullptr; });
-    deployment_.hold_commands(at_most_the_rest(deployment_.cancel_s() + random_s(1, kMaxExcessS)));
-    deployment_.faults.slow_read_delay_s = random_s(0.2, 0.6);
-    deployment_.recover_store();
-    for (int i = 0; i < 3; ++i) deployment_.after(random_s(0.01, 0.1), [this] { cancel_the_newest_job(); });
-    deployment_.after(random_s(0.1, 0.3),
-                      [this] { stop_the_store(at_most_the_rest(deployment_.cancel_s() + 2 * kMaxExcessS)); });
+  deployment_.on_commit = [this, partition](const sim::json::object& transaction) {
+    const auto writes = sim::json::serialize(transaction.at("then"));
+    if (writes.find("\"parts/" + partition) != std::string::npos)
+      deployment_.after(kFirstReadS, [this] { slow_reads_down(); });
+    if (writes.find("\"runs/" + partition) != std::string::npos) cancel_at_a_placement();
   };
+  deployment_.after(kLongestFaultS, [this] { deployment_.on_commit = nullptr; });
+}
+
+void FaultSchedule::slow_reads_down() {
+  if (deployment_.store.outage) return;
+  deployment_.faults.slow_read_delay_s = random_s(0.4, 0.6);
+  deployment_.recover_store();
+}
+
+void FaultSchedule::cancel_at_a_placement() {
+  deployment_.after(0, [this] { deployment_.on_commit = nullptr; });
+  slow_reads_down();
+  const double overrun_s = deployment_.cancel_s() + random_s(1, kMaxExcessS);
+  deployment_.hold_commands(at_most_the_rest(overrun_s));
+  for (int i = 0; i < 3; ++i) deployment_.after(random_s(0.01, 0.1), [this] { cancel_the_newest_job(); });
+  deployment_.after(random_s(0.1, 0.3),
+                    [this, overrun_s] { stop_the_store(at_most_the_rest(overrun_s + kMaxExcessS)); });
 }
 
 void FaultSchedule::stop_the_store(double duration_s) {
@@ -356,8 +403,8 @@
   }
 }
 
-// Starts are refused, which only the answers to direct commands show; then the machine is back without its
-// tasks.
+// Starts are refused, which only the answers to direct commands show; then the
+// machine is back without its tasks.
 void FaultSchedule::lose_ended_tasks() {
   if (deployment_.agents.empty()) return;
   auto agent = deployment_.agents.begin();
