Store client: log which limit a transaction exceeds; count outcomes

A transaction that the store refused with 400 left one line with the store's words. It did not say what the transaction cost against which limit, so a wrong count of compares, an oversized body or an expired limit could not be told apart, and no metric showed refusals that repeat for good. The client held back too many writes and too large values, but neither compares nor bodies over 64 KiB.

Change: state/transaction_limits knows the cost of a transaction (writes, compares, bytes, largest value) and what the store allows. The client asks it: `commit not sent` names limit, needed and allowed; `commit malformed` names the cost; finchrun_commits_total counts the outcomes. This is a guard and no fix: a planner that reaches it plans the same transaction again.

KeyValueStore.DoesNotSendTransactionOverALimit failed before with its new cases (21 compares, with and without a write; 33 writes in a body over 64 KiB).

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -55,6 +55,12 @@
   double max_value_kb = 8;   // of one value
   int max_transaction_writes = 16;
 
+  /// The protocol's limit of a transaction's request body.
+  static constexpr std::size_t kMaxTransactionBytes = 64 * 1024;
+  // The size of a value above which the store refuses it.
+  [[nodiscard]] std::size_t enforced_value_bytes() const {
+    return static_cast<std::size_t>(max_value_kb * 1024);
+  }
   // The size limit of one value, less a reserve of 5% for content that size estimates omit.
   [[nodiscard]] std::size_t max_value_bytes() const {
     return static_cast<std::size_t>(max_value_kb * 1024 * 0.95);
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -50,6 +50,10 @@
                                     .Name("finchrun_invariant_violations_total")
                                     .Help("Invariants that did not hold. Each one is a bug.")
                                     .Register(registry);
+  Family<Counter>& commits = prometheus::BuildCounter()
+                                 .Name("finchrun_commits_total")
+                                 .Help("Transactions on the key-value store, by outcome.")
+                                 .Register(registry);
   Family<Counter>& unrecorded_tasks = prometheus::BuildCounter()
                                           .Name("finchrun_unrecorded_tasks_total")
                                           .Help("Tasks on machines that no record names.")
@@ -87,6 +91,7 @@
 void count_violation(const char* invariant) {
   metrics().violations.Add({{"invariant", invariant}}).Increment();
 }
+void count_commit(const char* outcome) { metrics().commits.Add({{"outcome", outcome}}).Increment(); }
 void count_unrecorded_task() { metrics().unrecorded_tasks.Add({}).Increment(); }
 
 void set_state(std::uint64_t revision, double age_s) {
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -18,6 +18,9 @@
 void count_refused_start(const char* reason);
 /// An invariant does not hold; `invariant` names it as the log line does.
 void count_violation(const char* invariant);
+/// A transaction was sent to the key-value store, or not sent; `outcome` is the name of a
+/// state::CommitStatus.
+void count_commit(const char* outcome);
 /// An agent holds a task that no record names.
 void count_unrecorded_task();
 
--- a/src/state/key_value_store.cpp
+++ b/src/state/key_value_store.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "metrics/metrics.hpp"
+
 namespace finchrun::state {
 namespace {
 
@@ -37,6 +39,13 @@
   return {rate, rate * burst_s, core::SteadyClock::now()};
 }
 
+// Returns the key that names the transaction in log lines: that of its largest value, else the first one.
+std::string named_key(const Transaction& transaction, const CommitBody& body) {
+  if (!body.largest_key.empty()) return body.largest_key;
+  if (!transaction.writes.empty()) return transaction.writes.front().key;
+  return transaction.compares.empty() ? "-" : transaction.compares.front().key;
+}
+
 }  // namespace
 
 KeyValueStore::KeyValueStore(http::Network& network, const config::Settings& settings,
@@ -99,24 +108,28 @@
   co_return co_await call_or_relay(*lease_client_, http::Verb::post, std::move(target), std::move(body));
 }
 
-// Logs each key and size only once, since the caller tries again on every change.
-void KeyValueStore::log_oversized(const Transaction& transaction, const CommitBody& body) {
-  const bool too_many_writes = body.oversized_key.empty();
-  const auto& key = too_many_writes ? transaction.writes.front().key : body.oversized_key;
-  const auto size = too_many_writes ? transaction.writes.size() : body.oversized_bytes;
-  if (logged_oversizes_[key] == size) return;
+// Logs each key and limit only once, since the caller tries again on every change.
+void KeyValueStore::log_excess(const std::string& key, const LimitExcess& excess) {
+  auto& logged = logged_excesses_[key];
+  if (logged.limit == excess.limit && logged.needed == excess.needed) return;
   constexpr std::size_t kMaxLoggedKeys = 1000;
-  if (logged_oversizes_.size() > kMaxLoggedKeys) logged_oversizes_.clear();
-  logged_oversizes_[key] = size;
-  spdlog::error("commit not sent key={} {}={} reason=too_large", key, too_many_writes ? "writes" : "bytes",
-                size);
+  if (logged_excesses_.size() > kMaxLoggedKeys) logged_excesses_.clear();
+  logged_excesses_[key] = excess;
+  spdlog::error("commit not sent key={} limit={} needed={} allowed={} reason=too_large", key,
+                name_of(excess.limit), excess.needed, excess.allowed);
 }
 
 asio::awaitable<CommitResult> KeyValueStore::commit(Transaction transaction) {
-  auto body = commit_body(transaction, limits_);
+  const auto result = co_await commit_within_limits(transaction);
+  metrics::count_commit(name_of(result.outcome));
+  co_return result;
+}
+
+asio::awaitable<CommitResult> KeyValueStore::commit_within_limits(const Transaction& transaction) {
+  auto body = commit_body(transaction);
   // The store would answer 400, now or as soon as the limits announced in the settings apply.
-  if (!body.oversized_key.empty() || transaction.writes.size() > limits_.max_writes()) {
-    log_oversized(transaction, body);
+  if (const auto excess = TransactionLimits(limits_).excess(body.cost)) {
+    log_excess(named_key(transaction, body), *excess);
     CommitResult not_sent;
     not_sent.outcome = CommitStatus::too_large;
     co_return not_sent;
@@ -125,7 +138,10 @@
       co_await call(http::Verb::post, "/commit", std::move(body.text), kCommitReserve);
   if (answer.status == http::status::kTooManyRequests) write_limiter_.drain(core::SteadyClock::now());
   auto result = commit_result(answer);
-  if (result.outcome == CommitStatus::malformed) spdlog::error("commit malformed reason={}", answer.body);
+  if (result.outcome == CommitStatus::malformed)
+    spdlog::error("commit malformed key={} writes={} compares={} bytes={} largest_value_bytes={} reason={}",
+                  named_key(transaction, body), body.cost.writes, body.cost.compares, body.cost.bytes,
+                  body.cost.largest_value_bytes, answer.body);
   co_return result;
 }
 
--- a/src/state/key_value_store.hpp
+++ b/src/state/key_value_store.hpp
@@ -58,7 +58,8 @@
   asio::awaitable<http::ClientResponse> call_unthrottled(std::string target, std::string body);
   asio::awaitable<http::ClientResponse> call_or_relay(http::Transport& direct, http::Verb verb,
                                                       std::string target, std::string body);
-  void log_oversized(const Transaction& transaction, const CommitBody& body);
+  asio::awaitable<CommitResult> commit_within_limits(const Transaction& transaction);
+  void log_excess(const std::string& key, const LimitExcess& excess);
 
   std::unique_ptr<http::Transport> client_;
   std::unique_ptr<http::Transport> lease_client_;  // separate: a renewal never waits behind a large answer
@@ -67,7 +68,7 @@
   config::StoreLimits limits_;
   RateLimiter request_limiter_;
   RateLimiter write_limiter_;
-  std::unordered_map<std::string, std::size_t> logged_oversizes_;  // by key: the last size logged
+  std::unordered_map<std::string, LimitExcess> logged_excesses_;  // by key: the last one logged
 };
 
 }  // namespace finchrun::state
--- a/src/state/store_protocol.cpp
+++ b/src/state/store_protocol.cpp
@@ -104,8 +104,7 @@
   return "malformed_answer";
 }
 
-CommitBody commit_body(const Transaction& transaction, const config::StoreLimits& limits) {
-  const auto max_bytes = static_cast<std::size_t>(limits.max_value_kb * 1024);
+CommitBody commit_body(const Transaction& transaction) {
   json::array compares;
   for (const auto& compare : transaction.compares)
     compares.push_back(json::object{{"k", compare.key}, {"stamp", compare.revision}});
@@ -119,15 +118,18 @@
       continue;
     }
     const auto value = json::serialize(*write.value);
-    if (value.size() > max_bytes) {
-      body.oversized_key = write.key;
-      body.oversized_bytes = value.size();
+    if (value.size() > body.cost.largest_value_bytes) {
+      body.largest_key = write.key;
+      body.cost.largest_value_bytes = value.size();
     }
     body.text += "{\"set\":" + key + ",\"data\":" + value;
     if (write.store_lease) body.text += ",\"hold\":" + std::to_string(*write.store_lease);
     body.text += '}';
   }
   body.text += "]}";
+  body.cost.writes = transaction.writes.size();
+  body.cost.compares = transaction.compares.size();
+  body.cost.bytes = body.text.size() - kTransactionFrameBytes;
   return body;
 }
 
--- a/src/state/store_protocol.hpp
+++ b/src/state/store_protocol.hpp
@@ -8,10 +8,10 @@
 #include <variant>
 #include <vector>
 
-#include "config/settings.hpp"
 #include "http/status.hpp"
 #include "http/transport.hpp"
 #include "state/transaction.hpp"
+#include "state/transaction_limits.hpp"
 
 namespace finchrun::state {
 
@@ -48,13 +48,13 @@
   unknown,  ///< no answer or refused: the lease stays valid until it expires
 };
 
-/// The body of a transaction, and its value that is too large for the store, if any.
+/// The body of a transaction, and what it costs.
 struct CommitBody {
   std::string text;
-  std::string oversized_key;  ///< key of a value over the limit; empty: none
-  std::size_t oversized_bytes = 0;
+  TransactionCost cost;
+  std::string largest_key;  ///< key of the largest value; empty if no value is written
 };
-CommitBody commit_body(const Transaction& transaction, const config::StoreLimits& limits);
+CommitBody commit_body(const Transaction& transaction);
 /// Body of a request for a store lease that expires `ttl_ms` after its last renewal.
 std::string lease_body(int ttl_ms);
 std::string changes_target(std::uint64_t from);
--- a/tests/state/key_value_store_test.cpp
+++ b/tests/state/key_value_store_test.cpp
@@ -49,11 +49,17 @@
   struct Case {
     std::size_t writes, bytes;
     CommitStatus outcome;
+    std::size_t compares = 0;
+    int max_writes = 5;
   };
-  for (const auto& test_case : {Case{5, 100, CommitStatus::done}, Case{6, 100, CommitStatus::too_large},
-                                Case{1, 2046, CommitStatus::done}, Case{1, 2047, CommitStatus::too_large}}) {
+  constexpr auto done = CommitStatus::done, too_large = CommitStatus::too_large;
+  // 32 values of 2,000 bytes fit into a body of 64 KiB with their keys, 33 do not.
+  for (const auto& test_case :
+       {Case{5, 100, done}, Case{6, 100, too_large}, Case{1, 2046, done}, Case{1, 2047, too_large},
+        Case{1, 100, done, 20}, Case{1, 100, too_large, 21}, Case{0, 0, too_large, 21},
+        Case{32, 2000, done, 0, 100}, Case{33, 2000, too_large, 0, 100}}) {
     ScriptedNetwork network;
-    auto settings = make_settings(20, 5);
+    auto settings = make_settings(20, test_case.max_writes);
     settings.store_limits.max_value_kb = 2;
     KeyValueStore store(network, settings);
     network.answers.push_back({200, R"({"epoch":432})"});
@@ -61,9 +67,11 @@
     for (std::size_t i = 0; i < test_case.writes; ++i)
       transaction.writes.push_back(
           {"a/" + std::to_string(i), json::value(std::string(test_case.bytes, 'x'))});
+    for (std::size_t i = 0; i < test_case.compares; ++i)
+      transaction.compares.push_back({"a/" + std::to_string(i), 0});
     EXPECT_EQ(sim::run_to_completion([&] { return store.commit(std::move(transaction)); }).outcome,
               test_case.outcome)
-        << test_case.writes << " " << test_case.bytes;
+        << test_case.writes << " " << test_case.bytes << " " << test_case.compares;
     EXPECT_EQ(network.targets.size(), test_case.outcome == CommitStatus::done ? 1u : 0u);
   }
 }
