Placements: plan, ask for the true cost, and undo what does not fit

Cause: the planner added a placement if one more shard fit. An array opens several, so a transaction had 21 compares, was refused with 400, and the same records gave the same plan again. A placement that did not fit also left the shards that it had opened in the transaction, with nothing in them.

Change: AssignmentWriter::add plans the assignments, asks state::TransactionLimits for the cost of the whole transaction, and undoes everything, opened shards included, if it does not fit. What is cut off begins the next transaction. Works because the cost is counted after planning, for all limits at once, from the smaller of the present and the announced values.

Every scenario of the simulated cluster now also expects that the store refuses nothing for its size.

--- a/src/assignments/assignment_writer.cpp
+++ b/src/assignments/assignment_writer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "assignments/leader_compares.hpp"
+
 namespace finchrun::assignments {
 
 namespace {
@@ -32,6 +34,7 @@
                                    std::size_t max_writes)
     : state_(state),
       partition_(partition),
+      limits_(state.settings.store_limits),
       max_writes_(max_writes),
       max_bytes_(state.settings.store_limits.max_value_bytes()),
       tombstones_(state, partition),
@@ -47,21 +50,23 @@
   return ShardShrinker(state_, partition_, tombstones_, shards_, max_writes_).shrink();
 }
 
-bool AssignmentWriter::add(core::JobId job, const std::vector<jobs::TaskAssignment>& assignments) {
-  std::vector<std::pair<OpenShard*, std::size_t>> added;
+bool AssignmentWriter::add(core::JobId job, const std::vector<jobs::TaskAssignment>& assignments,
+                           const state::TransactionCost& others) {
+  auto before = savepoint();
+  if (add_to_shards(job, assignments) && limits_.allow(others + cost())) return true;
+  restore(std::move(before));
+  return false;
+}
+
+// Returns false if too many shards would be open; then some of the assignments may have been added.
+bool AssignmentWriter::add_to_shards(core::JobId job, const std::vector<jobs::TaskAssignment>& assignments) {
   const auto max_job_bytes = large_job_bytes(max_bytes_);
   for (std::size_t next = 0; next < assignments.size();) {
     // Keeps as many of the assignments in one shard as fit; a large job may need several shards.
     const auto left = assignments.size() - next;
     OpenShard* shard =
         shards_.open_with_room(job, std::min((left + 1) * jobs::kMaxAssignmentBytes, max_job_bytes));
-    if (!shard) {
-      for (const auto& [changed, count] : added) {
-        auto& list = changed->jobs[job].assignments;
-        list.resize(list.size() - count);
-      }
-      return false;
-    }
+    if (!shard) return false;
     auto& recorded = shard->jobs[job];
     const auto before = recorded.empty() ? 0 : jobs::max_stored_bytes(recorded, state_.names);
     std::size_t count = 0;
@@ -71,7 +76,6 @@
     } while (next < assignments.size() &&
              shard->bytes + (count + 2) * jobs::kMaxAssignmentBytes <= max_bytes_);
     shard->bytes += jobs::max_stored_bytes(recorded, state_.names) - before;
-    added.emplace_back(shard, count);
   }
   return true;
 }
@@ -124,10 +128,19 @@
   return done;
 }
 
+void AssignmentWriter::restore(Savepoint savepoint) {
+  tombstones_.restore(std::move(savepoint.tombstones));
+  shards_.restore(std::move(savepoint.shards));
+}
+
+state::TransactionCost AssignmentWriter::cost() const {
+  if (written_key_count() == 0) return {};
+  return leadership_cost(state_, partition_) + shards_.cost() + tombstones_.cost();
+}
+
 void AssignmentWriter::write_to(PlannedTransaction& transaction) const {
-  const auto& partition = state_.names.partitions.name(partition_);
-  transaction.require_revision(state::keys::leadership(partition), state_.fencing_token(partition_));
-  transaction.require_revision(state::keys::fence(partition), state_.cache.fence(partition_));
+  if (written_key_count() == 0) return;
+  require_leadership(state_, partition_, transaction);
   shards_.write_to(transaction);
   tombstones_.write_to(transaction);
 }
--- a/src/assignments/assignment_writer.hpp
+++ b/src/assignments/assignment_writer.hpp
@@ -29,9 +29,11 @@
   AssignmentWriter(const AssignmentWriter&) = delete;
   AssignmentWriter& operator=(const AssignmentWriter&) = delete;
 
-  /// Adds the assignments to shards that have room. Returns false, and adds none, if that would change too
-  /// many shards.
-  bool add(core::JobId job, const std::vector<jobs::TaskAssignment>& assignments);
+  /// Adds the assignments to shards that have room. Returns false, and changes nothing, if the transaction
+  /// would exceed a limit of the store. `others`: the cost of what the transaction contains beside this
+  /// writer's changes.
+  bool add(core::JobId job, const std::vector<jobs::TaskAssignment>& assignments,
+           const state::TransactionCost& others = {});
   /// Returns the number of assignments of one job that always fit into a transaction of their own.
   static std::size_t max_assignments(const config::StoreLimits& limits);
   /// Plans one step of ShardShrinker. The writer must not plan anything else.
@@ -51,15 +53,27 @@
   [[nodiscard]] std::size_t written_key_count() const {
     return shards_.size() + (tombstones_.changed() ? 1 : 0);
   }
+  /// The planned changes so far.
+  struct Savepoint {
+    PlannedTombstones::Savepoint tombstones;
+    OpenShards::Savepoint shards;
+  };
+  [[nodiscard]] Savepoint savepoint() const { return {tombstones_.savepoint(), shards_.savepoint()}; }
+  /// Undoes all changes since the savepoint.
+  void restore(Savepoint savepoint);
+  /// Returns an upper bound of what `write_to` adds; nothing if no key is written.
+  [[nodiscard]] state::TransactionCost cost() const;
   /// Adds the writes, and the compares that make the transaction of a late or deposed leader fail: the
-  /// fencing token, the fence, and the revision of each written key.
+  /// fencing token, the fence, and the revision of each written key. Adds nothing if no key is written.
   void write_to(PlannedTransaction& transaction) const;
 
  private:
+  bool add_to_shards(core::JobId job, const std::vector<jobs::TaskAssignment>& assignments);
   bool add_tombstone(const std::string& shard, core::JobId job, const state::Tombstone& tombstone);
 
   const ControllerState& state_;
   core::PartitionId partition_;
+  state::TransactionLimits limits_;
   std::size_t max_writes_, max_bytes_;
   PlannedTombstones tombstones_;  // of shards that are not open
   OpenShards shards_;
--- a/src/assignments/open_shards.cpp
+++ b/src/assignments/open_shards.cpp
@@ -2,6 +2,13 @@
 
 namespace finchrun::assignments {
 
+namespace {
+
+// Around the jobs of a shard: {"jobs":{}}
+constexpr std::size_t kFrameBytes = 11;
+
+}  // namespace
+
 OpenShards::OpenShards(const ControllerState& state, core::PartitionId partition,
                        PlannedTombstones& tombstones, std::size_t max_shards)
     : state_(state),
@@ -50,8 +57,11 @@
 
 void OpenShards::replace(core::ShardId id, std::vector<ShardContents> contents) {
   const auto& shard = state_.cache.shard(id);
-  shards_[shard.name] = {shard.revision, 0, std::move(contents.front())};
-  for (std::size_t i = 1; i < contents.size(); ++i) shards_[unused_name()].jobs = std::move(contents[i]);
+  for (std::size_t i = 0; i < contents.size(); ++i) {
+    const auto bytes = max_stored_bytes(contents[i], state_.names);
+    const auto name = i == 0 ? shard.name : unused_name();
+    shards_[name] = {i == 0 ? shard.revision : 0, bytes, std::move(contents[i])};
+  }
 }
 
 std::string OpenShards::unused_name() const {
@@ -112,12 +122,23 @@
   return done;
 }
 
+std::string OpenShards::key(const std::string& name) const {
+  return state::keys::shard(state_.names.partitions.name(partition_), name);
+}
+
+state::TransactionCost OpenShards::cost() const {
+  state::TransactionCost cost;
+  for (const auto& [name, shard] : shards_) {
+    cost += state::compare_cost(key(name));
+    cost += state::write_cost(key(name), shard.bytes + kFrameBytes);
+  }
+  return cost;
+}
+
 void OpenShards::write_to(PlannedTransaction& transaction) const {
-  const auto& partition = state_.names.partitions.name(partition_);
   for (const auto& [name, shard] : shards_) {
-    const auto key = state::keys::shard(partition, name);
-    transaction.require_revision(key, shard.revision);
-    transaction.writes.push_back({key, state::encode_shard(shard.jobs, state_.names)});
+    transaction.require_revision(key(name), shard.revision);
+    transaction.writes.push_back({key(name), state::encode_shard(shard.jobs, state_.names)});
   }
 }
 
--- a/src/assignments/open_shards.hpp
+++ b/src/assignments/open_shards.hpp
@@ -40,12 +40,18 @@
   [[nodiscard]] ShardContents contents(core::ShardId shard) const;
   /// Returns true if the shard is within the value limit.
   [[nodiscard]] bool is_within_limit(core::ShardId shard) const;
-  /// Opens the stored shard with the first of the contents, and a new shard with each of the others. Does not
-  /// count their sizes, so the transaction must do nothing else.
+  /// Opens the stored shard with the first of the contents, and a new shard with each of the others.
   void replace(core::ShardId shard, std::vector<ShardContents> contents);
   /// Returns the number of done tasks of the job in the open shards.
   [[nodiscard]] std::uint32_t done_tasks(core::JobId job) const;
 
+  using Savepoint = std::map<std::string, OpenShard>;
+  [[nodiscard]] Savepoint savepoint() const { return shards_; }
+  /// Undoes all changes since the savepoint, except those of the tombstones.
+  void restore(Savepoint savepoint) { shards_ = std::move(savepoint); }
+
+  /// Returns an upper bound of what `write_to` adds.
+  [[nodiscard]] state::TransactionCost cost() const;
   /// Adds the writes of the shards, each on condition that the shard has not been written since.
   void write_to(PlannedTransaction& transaction) const;
 
@@ -54,6 +60,7 @@
   [[nodiscard]] OpenShard* find_open_with_room(core::JobId job, std::size_t bytes);
   [[nodiscard]] std::string find_stored_with_room(core::JobId job, std::size_t bytes) const;
   [[nodiscard]] std::string unused_name() const;
+  [[nodiscard]] std::string key(const std::string& name) const;
 
   const ControllerState& state_;
   core::PartitionId partition_;
--- a/src/assignments/placement_plan.cpp
+++ b/src/assignments/placement_plan.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Compares of the fencing token, the fence, one more shard, the job's record and its team's record.
-constexpr std::size_t kComparesPerPlacement = 5;
-
 // Returns nullopt if one of the machines is deleted or terminating.
 std::optional<std::vector<jobs::TaskAssignment>> assignments_for(const ControllerState& state,
                                                                  const PlannedPlacement& placement,
@@ -52,12 +49,26 @@
   }
 }
 
+// Adds the placement. Returns false, and changes nothing, if the transaction would exceed a limit of the
+// store.
+bool try_add(const ControllerState& state, const PlannedPlacement& placement,
+             const std::vector<jobs::TaskAssignment>& assignments, AssignmentWriter& writer,
+             PlannedTransaction& transaction) {
+  const auto compares = transaction.compares.size();
+  require_job_and_quota(state, placement.job, transaction);
+  if (writer.add(placement.job, assignments, transaction.compares_cost())) return true;
+  transaction.compares.resize(compares);
+  return false;
+}
+
 }  // namespace
 
 PlacementBatch plan_placements(const ControllerState& state, const std::vector<PlannedPlacement>& placements,
                                std::size_t first, std::uint64_t attempt) {
   const auto partition = placements[first].partition;
-  PlacementBatch batch{{}, state.names.partitions.name(partition), first};
+  PlacementBatch batch;
+  batch.partition = state.names.partitions.name(partition);
+  batch.next = first;
   auto& transaction = batch.transaction;
   // Under another fencing token, other leaders may have changed the records that the placements were decided
   // from, even if this controller leads the partition again.
@@ -70,23 +81,19 @@
   // not fit into this transaction has freed its capacity all the same.
   for (const auto& exit : state.fleet.observed_exits)
     if (exit.partition == partition) writer.record_exit(exit);
-  const auto max_compares = state.settings.store_limits.max_compares();
   for (; batch.next < placements.size() && placements[batch.next].partition == partition; ++batch.next) {
     const auto& placement = placements[batch.next];
     const auto* job = state.cache.job(placement.job);
     if (!job || job->revision != placement.job_revision) continue;
-    if (transaction.compares.size() + writer.written_key_count() + kComparesPerPlacement > max_compares)
-      break;
     const auto assignments = assignments_for(state, placement, attempt);
     if (!assignments) continue;
-    if (!writer.add(placement.job, *assignments)) {
-      if (!transaction.starts.empty()) break;  // left to the next transaction
+    if (!try_add(state, placement, *assignments, writer, transaction)) {
+      if (!transaction.starts.empty()) break;  // begins the next transaction
       continue;  // left to a later round, which has fewer exits to write with it
     }
-    require_job_and_quota(state, placement.job, transaction);
     add_start_commands(state, placement, *assignments, transaction);
   }
-  if (writer.written_key_count() > 0) writer.write_to(transaction);
+  writer.write_to(transaction);
   return batch;
 }
 
--- a/src/assignments/planned_tombstones.cpp
+++ b/src/assignments/planned_tombstones.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+// The braces around the list.
+constexpr std::size_t kFrameBytes = 2;
 // Quotes, colon, braces and comma around the jobs of a shard.
 constexpr std::size_t kShardDelimiterBytes = 6;
 // Quotes, colon, brackets and comma around the tombstones of a job, with some slack.
@@ -102,11 +104,25 @@
   changed_ = true;
 }
 
+std::string PlannedTombstones::key() const {
+  return state::keys::tombstones(state_.names.partitions.name(partition_));
+}
+
+void PlannedTombstones::restore(Savepoint savepoint) {
+  shards_ = std::move(savepoint.shards);
+  bytes_ = savepoint.bytes;
+  changed_ = savepoint.changed;
+}
+
+state::TransactionCost PlannedTombstones::cost() const {
+  if (!changed_) return {};
+  return state::compare_cost(key()) + state::write_cost(key(), bytes_ + kFrameBytes);
+}
+
 void PlannedTombstones::write_to(PlannedTransaction& transaction) const {
   if (!changed_) return;
-  const auto key = state::keys::tombstones(state_.names.partitions.name(partition_));
-  transaction.require_revision(key, state_.cache.tombstones(partition_).revision);
-  transaction.writes.push_back({key, state::encode(shards_, state_.names)});
+  transaction.require_revision(key(), state_.cache.tombstones(partition_).revision);
+  transaction.writes.push_back({key(), state::encode(shards_, state_.names)});
 }
 
 }  // namespace finchrun::assignments
--- a/src/assignments/planned_tombstones.hpp
+++ b/src/assignments/planned_tombstones.hpp
@@ -51,6 +51,18 @@
   /// Removes the shard's tombstones. Only valid together with a write of the shard with them applied.
   void drop(const std::string& shard);
 
+  /// The changes of the list so far.
+  struct Savepoint {
+    std::map<std::string, state::JobTombstones> shards;
+    std::size_t bytes = 0;
+    bool changed = false;
+  };
+  [[nodiscard]] Savepoint savepoint() const { return {shards_, bytes_, changed_}; }
+  /// Undoes all changes since the savepoint.
+  void restore(Savepoint savepoint);
+
+  /// Returns an upper bound of what `write_to` adds.
+  [[nodiscard]] state::TransactionCost cost() const;
   /// Adds the write of the list if it has changed, on condition that the list has not been written since: a
   /// late write must not undo a later one.
   void write_to(PlannedTransaction& transaction) const;
@@ -58,6 +70,7 @@
  private:
   [[nodiscard]] std::size_t job_entry_bytes(core::JobId job,
                                             const std::vector<state::Tombstone>& tombstones) const;
+  [[nodiscard]] std::string key() const;
 
   const ControllerState& state_;
   core::PartitionId partition_;
--- a/src/assignments/planned_transaction.cpp
+++ b/src/assignments/planned_transaction.cpp
@@ -9,4 +9,10 @@
     compares.push_back({key, revision});
 }
 
+state::TransactionCost PlannedTransaction::compares_cost() const {
+  state::TransactionCost cost;
+  for (const auto& compare : compares) cost += state::compare_cost(compare.key);
+  return cost;
+}
+
 }  // namespace finchrun::assignments
--- a/src/assignments/planned_transaction.hpp
+++ b/src/assignments/planned_transaction.hpp
@@ -24,6 +24,8 @@
   /// Makes the transaction fail unless the key is at this revision (0: does not exist). Further calls for the
   /// same key have no effect, since all revisions come from the same snapshot.
   void require_revision(const std::string& key, std::uint64_t revision);
+  /// Returns an upper bound of what the compares cost.
+  [[nodiscard]] state::TransactionCost compares_cost() const;
 };
 
 }  // namespace finchrun::assignments
--- a/tests/app/fault_scenarios.hpp
+++ b/tests/app/fault_scenarios.hpp
@@ -48,6 +48,7 @@
   EXPECT_TRUE(cluster.violations.empty())
       << cluster.violations.size() << " violations, first: " << cluster.violations.front();
   EXPECT_GT(cluster.task_starts, 0u);
+  EXPECT_EQ(cluster.store.rejected_for_size, 0u) << "requests over a limit of the store";
 }
 
 }  // namespace finchrun::sim
