Placements: exits no longer keep a large placement waiting

A gang or a batch of an array that needs most of a transaction was left to a later round while exits were to be recorded with it, and again as long as new exits came; today's limits included.

Cause: exits are recorded in the transaction of the placements that use their room, and took the writes and bytes first.

Change: if the first placement of a transaction does not fit beside the exits, they wait for their own transaction. So each transaction of a round records at least one batch, and a batch is placed in the round that planned it.

Result: PlannedTransactions/*, nine pairs of limits from the smallest that settings accept, 12 seeds each, counts writes, compares, bytes and values by itself.

--- a/src/assignments/placement_plan.cpp
+++ b/src/assignments/placement_plan.cpp
@@ -77,6 +77,7 @@
     return batch;
   }
   AssignmentWriter writer(state, partition);
+  const auto without_exits = writer.savepoint();
   // The placements use the capacity of exited tasks, so the exits are recorded with them. An exit that does
   // not fit into this transaction has freed its capacity all the same.
   for (const auto& exit : state.fleet.observed_exits)
@@ -87,10 +88,14 @@
     if (!job || job->revision != placement.job_revision) continue;
     const auto assignments = assignments_for(state, placement, attempt);
     if (!assignments) continue;
-    if (!try_add(state, placement, *assignments, writer, transaction)) {
-      if (!transaction.starts.empty()) break;  // begins the next transaction
-      continue;  // left to a later round, which has fewer exits to write with it
+    bool added = try_add(state, placement, *assignments, writer, transaction);
+    if (!added && !transaction.starts.empty()) break;  // begins the next transaction
+    if (!added) {
+      // The exits are left to a later transaction: they must not keep a large placement waiting.
+      writer.restore(without_exits);
+      added = try_add(state, placement, *assignments, writer, transaction);
     }
+    if (!added) continue;
     add_start_commands(state, placement, *assignments, transaction);
   }
   writer.write_to(transaction);
--- a/tests/assignments/placement_limits_test.cpp
+++ b/tests/assignments/placement_limits_test.cpp
@@ -2,8 +2,12 @@
 // sums.
 #include <gtest/gtest.h>
 
+#include <random>
+
+#include "assignments/exit_plan.hpp"
 #include "assignments/placement_plan.hpp"
 #include "assignments/single_partition.hpp"
+#include "core/case_names.hpp"
 
 namespace finchrun::assignments {
 namespace {
@@ -64,6 +68,20 @@
     }
     return transactions;
   }
+  // Records the observed exits and completed jobs; returns the number of transactions.
+  std::size_t record_exits() {
+    constexpr std::size_t kMaxTransactions = 2000;
+    std::size_t transactions = 0;
+    for (; transactions < kMaxTransactions; ++transactions) {
+      state.drop_recorded_exits();
+      const auto transaction = plan_next_transaction(state, partition);
+      if (transaction.writes.empty()) break;
+      expect_within(transaction, state.settings.store_limits);
+      apply(transaction);
+    }
+    EXPECT_LT(transactions, kMaxTransactions);
+    return transactions;
+  }
   static constexpr std::size_t kMachines = 40;
 };
 
@@ -101,5 +119,69 @@
   EXPECT_EQ(assignments, tasks);
 }
 
+struct LimitsCase {
+  const char* name;
+  double value_kb;
+  int writes;
+};
+class PlannedTransactions : public testing::TestWithParam<LimitsCase> {};
+// Guards against planned transactions over any limit, and against placements that later ones or exits keep
+// from being recorded: each transaction of a round records at least one batch.
+TEST_P(PlannedTransactions, StayWithinTheLimitsAndPlaceEveryBatch) {
+  constexpr std::uint32_t kSeeds = 12;
+  constexpr int kRounds = 6;
+  for (std::uint32_t seed = 0; seed < kSeeds; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    LimitedLeader leader({100, 35, GetParam().value_kb, GetParam().writes});
+    std::mt19937 random(seed);
+    const auto draw = [&](std::uint32_t from, std::uint32_t to) {
+      return std::uniform_int_distribution<std::uint32_t>(from, to)(random);
+    };
+    const auto max_gang =
+        static_cast<std::uint32_t>(AssignmentWriter::max_assignments(leader.state.settings.store_limits));
+    std::vector<core::JobId> ids;
+    for (int round = 0; round < kRounds; ++round) {
+      std::vector<core::JobId> waiting;
+      const auto add_job = [&](std::uint32_t tasks, bool gang) {
+        const auto number = 100000 + ids.size();
+        waiting.push_back(leader.job("req-" + std::to_string(number), tasks, gang));
+        ids.push_back(waiting.back());
+      };
+      const auto singles = draw(0, 70);
+      for (std::uint32_t i = 0; i < singles; ++i) add_job(1, false);
+      for (auto arrays = draw(0, 3); arrays > 0; --arrays) add_job(draw(2, 250), false);
+      if (draw(0, 1) == 1) add_job(draw(2, max_gang), true);
+      if (draw(0, 3) == 0) add_job(max_gang, true);
+      std::shuffle(waiting.begin(), waiting.end(), random);
+      std::vector<PlannedPlacement> placements;
+      for (const auto id : waiting)
+        leader.plan_job(id, draw(1, static_cast<std::uint32_t>(LimitedLeader::kMachines)), placements);
+      const auto attempt = 1000000u + static_cast<std::uint32_t>(round);
+      EXPECT_LE(leader.place(placements, attempt), placements.size());
+      for (const auto id : waiting) {
+        const auto* job = leader.state.cache.job(id);
+        ASSERT_EQ(leader.state.cache.placed_tasks(id), job->spec.tasks) << "job " << id.index;
+      }
+      // Some tasks have exited by the next round, which records their exits with its placements.
+      for (const auto id : ids)
+        for (const auto& recorded : leader.state.cache.shard_assignments(id))
+          for (const auto& assignment : recorded.job_assignments.assignments)
+            if (draw(0, 2) == 0)
+              leader.state.fleet.observed_exits.insert(
+                  {id, leader.partition, assignment.task, assignment.attempt, draw(0, 9) > 0, kFencingToken});
+      if (draw(0, 1) == 1) leader.record_exits();
+    }
+    leader.record_exits();
+    if (HasFailure()) return;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, PlannedTransactions,
+    testing::Values(LimitsCase{"today", 8, 16}, LimitsCase{"announced", 2, 5}, LimitsCase{"smallest", 1, 4},
+                    LimitsCase{"small_values", 1, 16}, LimitsCase{"few_writes", 8, 4},
+                    LimitsCase{"large_values_few_writes", 64, 4}, LimitsCase{"values_over_a_body", 256, 16},
+                    LimitsCase{"many_writes", 8, 1000}, LimitsCase{"small_values_many_writes", 1, 1000}),
+    kCaseName);
+
 }  // namespace
 }  // namespace finchrun::assignments
