Records: no body over 64 KiB, whatever else the store allows

What callers saw: nothing yet; no known store allows such limits. With values over 21 KiB allowed, a shard grew until no transaction could write it, so that nothing of its partition could be recorded for good. With hundreds of changes allowed, the records of jobs that completed together passed 64 KiB.

Cause: PROTOCOL's 64 KiB for a whole transaction was kept by a bound on the number of full values alone, which holds for today's limits only.

Change: a value is at most 20 KiB, so that a shard and the tombstone list fit beside each other; limits of up to 21 KiB are as before. The planner of completions and the split of shards ask TransactionLimits.

--- a/src/assignments/exit_plan.cpp
+++ b/src/assignments/exit_plan.cpp
@@ -11,8 +11,6 @@
 
 // One write in this many is reserved for the records of jobs that the transaction completes.
 constexpr std::size_t kJobWritesDivisor = 4;
-// Compares of the fencing token and the job's record.
-constexpr std::size_t kComparesPerJob = 2;
 
 // Returns true if all values of the partition's records are within the value limit.
 bool records_within_limits(const ControllerState& state, core::PartitionId partition) {
@@ -44,13 +42,29 @@
          writer.done_tasks(id) >= job->spec.tasks;
 }
 
-void record_completion(const ControllerState& state, core::JobId id, PlannedTransaction& transaction) {
+/// The completion of a job: its record as it is and as it will be.
+struct Completion {
+  std::string name;
+  std::string key;
+  std::uint64_t revision = 0;
+  boost::json::value record;
+};
+
+Completion completion_of(const ControllerState& state, core::JobId id) {
   const auto& job = *state.cache.job(id);
   const auto& name = state.names.jobs.name(id);
-  const auto key = state::keys::job(name);
-  transaction.require_revision(key, job.revision);
-  transaction.writes.push_back({key, jobs::to_json(completed_record(job), state.names)});
-  transaction.log_lines.push_back(fmt::format("job done job={}", name));
+  return {name, state::keys::job(name), job.revision, jobs::to_json(completed_record(job), state.names)};
+}
+
+state::TransactionCost cost_of(const Completion& completion) {
+  const auto bytes = boost::json::serialize(completion.record).size();
+  return state::compare_cost(completion.key) + state::write_cost(completion.key, bytes);
+}
+
+void record_completion(Completion completion, PlannedTransaction& transaction) {
+  transaction.require_revision(completion.key, completion.revision);
+  transaction.writes.push_back({completion.key, std::move(completion.record)});
+  transaction.log_lines.push_back(fmt::format("job done job={}", completion.name));
 }
 
 }  // namespace
@@ -76,17 +90,21 @@
 
 PlannedTransaction plan_exits(const ControllerState& state, core::PartitionId partition) {
   PlannedTransaction transaction;
-  const auto& limits = state.settings.store_limits;
-  AssignmentWriter writer(state, partition, limits.max_writes() - limits.max_writes() / kJobWritesDivisor);
+  const auto max_writes = state.settings.store_limits.max_writes();
+  AssignmentWriter writer(state, partition, max_writes - max_writes / kJobWritesDivisor);
   const auto jobs = record_exits(state, partition, writer);
-  if (writer.written_key_count() > 0) writer.write_to(transaction);
+  writer.write_to(transaction);
+  const state::TransactionLimits limits(state.settings.store_limits);
+  const auto leadership = state::keys::leadership(state.names.partitions.name(partition));
+  auto cost = writer.cost() + state::compare_cost(leadership);
   for (const auto job : jobs) {
     if (!is_complete(state, writer, job)) continue;
-    if (transaction.writes.size() >= limits.max_writes()) break;
-    if (transaction.compares.size() + kComparesPerJob > limits.max_compares()) break;
-    transaction.require_revision(state::keys::leadership(state.names.partitions.name(partition)),
-                                 state.fencing_token(partition));
-    record_completion(state, job, transaction);
+    auto completion = completion_of(state, job);
+    const auto with_completion = cost + cost_of(completion);
+    if (!limits.allow(with_completion)) break;  // left to the next transaction
+    cost = with_completion;
+    transaction.require_revision(leadership, state.fencing_token(partition));
+    record_completion(std::move(completion), transaction);
   }
   return transaction;
 }
--- a/src/assignments/shard_shrinker.cpp
+++ b/src/assignments/shard_shrinker.cpp
@@ -1,5 +1,7 @@
 #include "assignments/shard_shrinker.hpp"
 
+#include "assignments/leader_compares.hpp"
+
 namespace finchrun::assignments {
 
 bool ShardShrinker::shrink() {
@@ -24,11 +26,8 @@
   // Preferred: the tombstones of the shard leave the list, which takes one more write.
   if (!tombstones_.exceeds_limit()) {
     constraints.max_shards = max_writes_ - 1;
-    if (auto contents = split_shard(jobs, constraints, state_.names)) {
-      tombstones_.drop(name);
-      shards_.replace(shard, std::move(*contents));
-      return true;
-    }
+    auto contents = split_shard(jobs, constraints, state_.names);
+    if (contents && replace(shard, std::move(*contents), true)) return true;
   }
   // Otherwise the stored tombstones stay. Applying them again is harmless if this shard no longer holds the
   // jobs that they name, or still holds all tasks that they mark as done.
@@ -37,9 +36,19 @@
     for (const auto& [job, _] : state_.cache.tombstones(partition_).of(name))
       constraints.jobs_to_move.insert(job);
   auto contents = split_shard(jobs, constraints, state_.names);
-  if (!contents) return false;
-  shards_.replace(shard, std::move(*contents));
-  return true;
+  return contents && replace(shard, std::move(*contents), false);
+}
+
+bool ShardShrinker::replace(core::ShardId shard, std::vector<ShardContents> contents, bool drop_tombstones) {
+  auto shards_before = shards_.savepoint();
+  auto tombstones_before = tombstones_.savepoint();
+  if (drop_tombstones) tombstones_.drop(state_.cache.shard(shard).name);
+  shards_.replace(shard, std::move(contents));
+  const auto cost = leadership_cost(state_, partition_) + shards_.cost() + tombstones_.cost();
+  if (state::TransactionLimits(state_.settings.store_limits).allow(cost)) return true;
+  shards_.restore(std::move(shards_before));
+  tombstones_.restore(std::move(tombstones_before));
+  return false;
 }
 
 }  // namespace finchrun::assignments
--- a/src/assignments/shard_shrinker.hpp
+++ b/src/assignments/shard_shrinker.hpp
@@ -25,6 +25,9 @@
 
  private:
   bool split(core::ShardId shard);
+  /// Replaces the shard by the contents. Returns false, and changes nothing, if that exceeds a limit of the
+  /// store. `drop_tombstones`: the tombstones of the shard leave the list.
+  bool replace(core::ShardId shard, std::vector<ShardContents> contents, bool drop_tombstones);
 
   const ControllerState& state_;
   core::PartitionId partition_;
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -55,23 +55,25 @@
   double max_value_kb = 8;   // of one value
   int max_transaction_writes = 16;
 
+  /// How much of a transaction full values may take. The rest is for the compares and one more value.
+  static constexpr double kMaxValuesKb = 40;
   /// The protocol's limit of a transaction's request body.
   static constexpr std::size_t kMaxTransactionBytes = 64 * 1024;
   // The size of a value above which the store refuses it.
   [[nodiscard]] std::size_t enforced_value_bytes() const {
     return static_cast<std::size_t>(max_value_kb * 1024);
   }
-  // The size limit of one value, less a reserve of 5% for content that size estimates omit.
+  // The size limit of one value, less a reserve of 5% for content that size estimates omit. A shard and the
+  // tombstone list must fit into one transaction, whatever the store allows one value to have.
   [[nodiscard]] std::size_t max_value_bytes() const {
-    return static_cast<std::size_t>(max_value_kb * 1024 * 0.95);
+    constexpr double kMaxBytes = kMaxValuesKb * 1024 / 2;
+    return static_cast<std::size_t>(std::min(max_value_kb * 1024 * 0.95, kMaxBytes));
   }
   [[nodiscard]] std::size_t max_writes() const { return static_cast<std::size_t>(max_transaction_writes); }
   [[nodiscard]] std::size_t max_compares() const { return 4 * max_writes(); }
   // The most values of full size in one transaction, whose body is limited as well.
   [[nodiscard]] std::size_t max_full_values() const {
-    // The protocol allows 64 KB; the rest is for the conditions and one more value.
-    constexpr double kMaxBodyKb = 40;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(kMaxBodyKb / max_value_kb));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(kMaxValuesKb / max_value_kb));
   }
 };
 
--- a/tests/assignments/placement_limits_test.cpp
+++ b/tests/assignments/placement_limits_test.cpp
@@ -119,6 +119,36 @@
   EXPECT_EQ(assignments, tasks);
 }
 
+// Guards against a shard that grows until no transaction can write it, where one value may be larger than a
+// transaction.
+TEST(PlacementLimits, ShardsFitIntoATransactionWhateverTheLimitOnValues) {
+  LimitedLeader leader({100, 35, 256, 16});
+  for (std::size_t i = 0; i < 40; ++i) {
+    std::vector<PlannedPlacement> placements;
+    const auto id = leader.job("req-" + std::to_string(100000 + i), 250, false);
+    leader.plan_job(id, LimitedLeader::kMachines, placements);
+    leader.place(placements, 1000000 + i);
+    ASSERT_EQ(leader.state.cache.placed_tasks(id), 250u);
+  }
+}
+
+// Guards against a body over 64 KiB where the limit on writes is high: the records of many completed jobs.
+TEST(PlacementLimits, CompletionsOfManyJobsNeedSeveralTransactions) {
+  constexpr std::size_t kJobs = 700;
+  LimitedLeader leader({100, 35, 8, 1000});
+  std::vector<PlannedPlacement> placements;
+  std::vector<core::JobId> ids;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    ids.push_back(leader.job("req-" + std::to_string(100000 + i), 1, false));
+    leader.plan_job(ids.back(), LimitedLeader::kMachines, placements);
+  }
+  leader.place(placements, 9);
+  for (const auto id : ids)
+    leader.state.fleet.observed_exits.insert({id, leader.partition, 0, 9, true, kFencingToken});
+  leader.record_exits();
+  for (const auto id : ids) EXPECT_EQ(leader.state.cache.job(id)->status, jobs::Status::done);
+}
+
 struct LimitsCase {
   const char* name;
   double value_kb;
