Recorders: go on with smaller batches after a refusal for good

Cause: a plan is a function of the records, and a refusal changes none. Both recorders tried the same transaction again, whatever the refusal was: placements after 0.4 s, exits and completions with the next flush. A permanent refusal of one partition's exits also ended the flush of those behind it.

Change: after `too_large` or `malformed` the round goes on with half as many placements at a time, down to one, and leaves out one that is refused by itself; a commit doubles the number again. Exits and completed jobs are halved likewise. A placement that fits no transaction is logged, once for a job. The planners keep to the limits by themselves; this is for refusals that they cannot foresee.

Result: StoreLimits.RoundGoesOnWithSmallerBatchesAfterAPermanentRefusal, where the store has lower limits than the settings say. With the placements alone mended the test was still red: the tasks ran, but no job became done, which showed the second loop.

--- a/src/assignments/exit_plan.cpp
+++ b/src/assignments/exit_plan.cpp
@@ -21,13 +21,18 @@
                      [&](core::ShardId shard) { return writer.is_within_limit(shard); });
 }
 
-// Records the observed exits. Returns the jobs that have done tasks, in these exits or in the records.
+// Records at most `max_exits` of the observed exits. Returns the jobs that have done tasks, in these exits or
+// in the records.
 std::set<core::JobId> record_exits(const ControllerState& state, core::PartitionId partition,
-                                   AssignmentWriter& writer) {
+                                   std::size_t max_exits, AssignmentWriter& writer) {
   std::set<core::JobId> with_done_tasks;
-  for (const auto& exit : state.fleet.observed_exits)
-    if (exit.partition == partition && writer.record_exit(exit) && exit.done)
-      with_done_tasks.insert(exit.job);
+  std::size_t recorded_exits = 0;
+  for (const auto& exit : state.fleet.observed_exits) {
+    if (recorded_exits >= max_exits) break;
+    if (exit.partition != partition || !writer.record_exit(exit)) continue;
+    ++recorded_exits;
+    if (exit.done) with_done_tasks.insert(exit.job);
+  }
   state.cache.for_each_assignments(
       [&](core::JobId job, core::PartitionId recorded_by, const jobs::JobAssignments& recorded) {
         if (recorded_by == partition && recorded.done.size() > 0) with_done_tasks.insert(job);
@@ -88,17 +93,20 @@
   return transaction;
 }
 
-PlannedTransaction plan_exits(const ControllerState& state, core::PartitionId partition) {
+PlannedTransaction plan_exits(const ControllerState& state, core::PartitionId partition,
+                              std::size_t max_changes) {
   PlannedTransaction transaction;
   const auto max_writes = state.settings.store_limits.max_writes();
   AssignmentWriter writer(state, partition, max_writes - max_writes / kJobWritesDivisor);
-  const auto jobs = record_exits(state, partition, writer);
+  const auto jobs = record_exits(state, partition, max_changes, writer);
   writer.write_to(transaction);
   const state::TransactionLimits limits(state.settings.store_limits);
   const auto leadership = state::keys::leadership(state.names.partitions.name(partition));
   auto cost = writer.cost() + state::compare_cost(leadership);
+  std::size_t completions = 0;
   for (const auto job : jobs) {
     if (!is_complete(state, writer, job)) continue;
+    if (completions++ >= max_changes) break;
     auto completion = completion_of(state, job);
     const auto with_completion = cost + cost_of(completion);
     if (!limits.allow(with_completion)) break;  // left to the next transaction
@@ -109,9 +117,10 @@
   return transaction;
 }
 
-PlannedTransaction plan_next_transaction(const ControllerState& state, core::PartitionId partition) {
+PlannedTransaction plan_next_transaction(const ControllerState& state, core::PartitionId partition,
+                                         std::size_t max_changes) {
   auto shrink = plan_shrink(state, partition);
-  return shrink.writes.empty() ? plan_exits(state, partition) : std::move(shrink);
+  return shrink.writes.empty() ? plan_exits(state, partition, max_changes) : std::move(shrink);
 }
 
 }  // namespace finchrun::assignments
--- a/src/assignments/exit_plan.hpp
+++ b/src/assignments/exit_plan.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "assignments/assignment_writer.hpp"
+#include "assignments/batch_size.hpp"
 
 namespace finchrun::assignments {
 
@@ -14,12 +15,14 @@
 PlannedTransaction plan_shrink(const ControllerState& state, core::PartitionId partition);
 
 /// Plans to record as many of the partition's observed exits as fit into one transaction, and the completion
-/// of jobs whose tasks are all done, including jobs whose last exits an earlier transaction recorded. The
-/// next transaction does the rest.
-PlannedTransaction plan_exits(const ControllerState& state, core::PartitionId partition);
+/// of jobs whose tasks are all done, including jobs whose last exits an earlier transaction recorded; at most
+/// `max_changes` of each. The next transaction does the rest.
+PlannedTransaction plan_exits(const ControllerState& state, core::PartitionId partition,
+                              std::size_t max_changes = kUnlimitedChanges);
 
 /// Plans the partition's next transaction. Shrinking comes first, since a shard over the limit can take
 /// neither an exit nor a placement. Has no writes if there is nothing to do.
-PlannedTransaction plan_next_transaction(const ControllerState& state, core::PartitionId partition);
+PlannedTransaction plan_next_transaction(const ControllerState& state, core::PartitionId partition,
+                                         std::size_t max_changes = kUnlimitedChanges);
 
 }  // namespace finchrun::assignments
--- a/src/assignments/exit_recorder.hpp
+++ b/src/assignments/exit_recorder.hpp
@@ -1,9 +1,11 @@
 // Records observed exits: assignments that have ended, done tasks and completed jobs.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
+#include "assignments/batch_size.hpp"
 #include "assignments/planned_transaction.hpp"
 #include "assignments/write_fences.hpp"
 #include "controller/runtime.hpp"
@@ -27,7 +29,8 @@
 
  private:
   struct PartitionTransaction {
-    std::string partition;  // name
+    core::PartitionId partition;
+    std::string partition_name;
     PlannedTransaction transaction;
   };
   std::vector<PartitionTransaction> plan();
@@ -36,6 +39,7 @@
   state::KeyValueStore& store_;
   coordination::StateFollower& follower_;
   WriteFences& fences_;
+  std::map<core::PartitionId, BatchSize> batch_sizes_;
 };
 
 }  // namespace finchrun::assignments
--- a/src/assignments/placement_plan.cpp
+++ b/src/assignments/placement_plan.cpp
@@ -64,7 +64,7 @@
 }  // namespace
 
 PlacementBatch plan_placements(const ControllerState& state, const std::vector<PlannedPlacement>& placements,
-                               std::size_t first, std::uint64_t attempt) {
+                               std::size_t first, std::uint64_t attempt, std::size_t max_placements) {
   const auto partition = placements[first].partition;
   PlacementBatch batch;
   batch.partition = state.names.partitions.name(partition);
@@ -83,19 +83,24 @@
   for (const auto& exit : state.fleet.observed_exits)
     if (exit.partition == partition) writer.record_exit(exit);
   for (; batch.next < placements.size() && placements[batch.next].partition == partition; ++batch.next) {
+    if (batch.placements >= max_placements) break;
     const auto& placement = placements[batch.next];
     const auto* job = state.cache.job(placement.job);
     if (!job || job->revision != placement.job_revision) continue;
     const auto assignments = assignments_for(state, placement, attempt);
     if (!assignments) continue;
     bool added = try_add(state, placement, *assignments, writer, transaction);
-    if (!added && !transaction.starts.empty()) break;  // begins the next transaction
+    if (!added && batch.placements > 0) break;  // begins the next transaction
     if (!added) {
       // The exits are left to a later transaction: they must not keep a large placement waiting.
       writer.restore(without_exits);
       added = try_add(state, placement, *assignments, writer, transaction);
     }
-    if (!added) continue;
+    if (!added) {
+      batch.too_large.push_back(placement.job);
+      continue;
+    }
+    ++batch.placements;
     add_start_commands(state, placement, *assignments, transaction);
   }
   writer.write_to(transaction);
--- a/src/assignments/placement_recorder.hpp
+++ b/src/assignments/placement_recorder.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <vector>
 
+#include "assignments/batch_size.hpp"
 #include "assignments/placement_plan.hpp"
 #include "assignments/write_fences.hpp"
 #include "coordination/state_follower.hpp"
@@ -35,6 +37,8 @@
 
  private:
   void send_starts(const PlannedTransaction& transaction);
+  /// Logs the jobs of placements that fit no transaction, each once.
+  void log_too_large(const PlacementBatch& batch);
 
   controller::SharedState& state_;
   state::KeyValueStore& store_;
@@ -42,6 +46,7 @@
   gateway::AgentCommands& commands_;
   controller::Runtime& runtime_;
   WriteFences& fences_;
+  std::set<core::JobId> logged_too_large_;
 };
 
 }  // namespace finchrun::assignments
--- a/src/state/transaction.cpp
+++ b/src/state/transaction.cpp
@@ -22,4 +22,8 @@
   return "unknown";
 }
 
+bool is_permanent_refusal(CommitStatus status) {
+  return status == CommitStatus::too_large || status == CommitStatus::malformed;
+}
+
 }  // namespace finchrun::state
--- a/src/state/transaction.hpp
+++ b/src/state/transaction.hpp
@@ -43,6 +43,8 @@
 };
 /// The enumerator's name, for log lines.
 const char* name_of(CommitStatus status);
+/// Returns true if the same transaction will never be applied, however often it is sent.
+bool is_permanent_refusal(CommitStatus status);
 
 struct CommitResult {
   CommitStatus outcome = CommitStatus::unknown;
--- a/tests/app/cancellation_days_test.cpp
+++ b/tests/app/cancellation_days_test.cpp
@@ -4,23 +4,13 @@
 // are drawn from the seed.
 //
 // FINCHRUN_CANCELLATION_DAYS="FIRST LAST" runs the seeds from FIRST to before LAST instead of the few of CI.
-#include <cstdlib>
-#include <sstream>
-
 #include "app/fault_scenarios.hpp"
+#include "app/seed_range.hpp"
 
 namespace finchrun::sim {
 namespace {
 
-struct SeedRange {
-  std::uint32_t first = 1, last = 7;
-};
-SeedRange seeds() {
-  SeedRange range;
-  if (const char* text = std::getenv("FINCHRUN_CANCELLATION_DAYS"))
-    std::istringstream(text) >> range.first >> range.last;
-  return range;
-}
+SeedRange seeds() { return seeds_from("FINCHRUN_CANCELLATION_DAYS", {1, 7}); }
 
 // The times of deployments, and others with as little time between lease and cancellation as settings allow.
 AgentTiming draw_timing(std::uint32_t seed) {
--- a/tests/app/random_days_test.cpp
+++ b/tests/app/random_days_test.cpp
@@ -5,25 +5,15 @@
 // be broken, and once the disruptions are over no job may wait beside free machines.
 //
 // FINCHRUN_RANDOM_DAYS="FIRST LAST" runs the seeds from FIRST to before LAST instead of the few of CI.
-#include <cstdlib>
-#include <sstream>
-
 #include "app/fault_scenarios.hpp"
+#include "app/seed_range.hpp"
 
 namespace finchrun::sim {
 namespace {
 
 constexpr double kDisruptionsOverS = 100, kCalmS = 140;
 
-struct SeedRange {
-  std::uint32_t first = 500, last = 506;
-};
-SeedRange seeds() {
-  SeedRange range;
-  if (const char* text = std::getenv("FINCHRUN_RANDOM_DAYS"))
-    std::istringstream(text) >> range.first >> range.last;
-  return range;
-}
+SeedRange seeds() { return seeds_from("FINCHRUN_RANDOM_DAYS", {500, 506}); }
 
 /// One day: its jobs, and disruptions at random moments.
 class RandomDay {
