Quota sharing: compare only the partitions that change, within limits

What callers saw: nothing yet; it needs a leader of many partitions (parts.per_zone, or the loss of most controllers). Its changes of a team's shares would have been refused for good, so that no share moved.

Cause: a team's transaction had two compares for each partition that the controller leads, changed or not: 25 for twelve partitions, where 20 are allowed.

Change: only partitions whose share or request changes are compared. A change that would pass a limit is left to the next round.

--- a/src/scheduling/quota_sharing.cpp
+++ b/src/scheduling/quota_sharing.cpp
@@ -4,6 +4,8 @@
 
 #include <map>
 
+#include "assignments/leader_compares.hpp"
+
 namespace finchrun::scheduling {
 
 namespace {
@@ -72,32 +74,48 @@
   return state::encode(record, state.names);
 }
 
-// Returns nullopt if the team's record does not change.
+/// What changes in a team's record for one partition.
+struct PartitionChange {
+  RequestChange request = RequestChange::none;
+  bool granted = false;
+  [[nodiscard]] bool any() const { return request != RequestChange::none || granted; }
+};
+
+PartitionChange change_shares(QuotaShares& shares, const QuotaShortage& shortage, bool may_withdraw) {
+  PartitionChange change;
+  change.request = update_request(shares, shortage, may_withdraw);
+  change.granted = shares.grant_surplus(shortage.partition, shortage.used);
+  return change;
+}
+
+// Returns nullopt if the team's record does not change. Changes that would take the transaction over the
+// store's limits are left to a later round.
 std::optional<PlannedTransaction> plan_team(const ControllerState& state, core::TeamId team,
                                             const std::vector<QuotaShortage>& shortages,
                                             core::TimePoint& request_withdrawn_at, core::TimePoint now) {
   const auto& team_name = state.names.teams.name(team);
+  const auto key = state::keys::quota(team_name);
+  const state::TransactionLimits limits(state.settings.store_limits);
+  auto cost = state::compare_cost(key) + state::write_cost(key, 0);
   auto shares = state.quota_shares(team);
   PlannedTransaction transaction;
-  bool changed = false;
   for (const auto& shortage : shortages) {
     const auto partition = shortage.partition;
     if (shortage.team != team || !state.may_decide_for(partition)) continue;
+    const auto with_partition = cost + assignments::leadership_cost(state, partition);
+    if (!limits.allow(with_partition)) break;
     const bool may_withdraw = core::seconds_between(request_withdrawn_at, now) > kWithdrawalIntervalS;
-    const auto request = update_request(shares, shortage, may_withdraw);
-    if (request == RequestChange::withdrawn) request_withdrawn_at = now;
-    changed |= request != RequestChange::none;
-    const auto& name = state.names.partitions.name(partition);
-    if (shares.grant_surplus(partition, shortage.used)) {
-      changed = true;
-      transaction.log_lines.push_back(fmt::format("quota granted team={} from={}", team_name, name));
-    }
-    transaction.compares.push_back({state::keys::leadership(name), state.fencing_token(partition)});
-    transaction.compares.push_back({state::keys::fence(name), state.cache.fence(partition)});
+    const auto change = change_shares(shares, shortage, may_withdraw);
+    if (!change.any()) continue;
+    cost = with_partition;
+    if (change.request == RequestChange::withdrawn) request_withdrawn_at = now;
+    if (change.granted)
+      transaction.log_lines.push_back(
+          fmt::format("quota granted team={} from={}", team_name, state.names.partitions.name(partition)));
+    assignments::require_leadership(state, partition, transaction);
   }
-  if (!changed) return std::nullopt;
-  const auto key = state::keys::quota(team_name);
-  transaction.compares.push_back({key, state.cache.quota(team).revision});
+  if (transaction.compares.empty()) return std::nullopt;
+  transaction.require_revision(key, state.cache.quota(team).revision);
   transaction.writes.push_back({key, to_record(state, shares)});
   return transaction;
 }
--- a/src/scheduling/quota_sharing.hpp
+++ b/src/scheduling/quota_sharing.hpp
@@ -39,9 +39,9 @@
 ///
 /// Rule `quota`: a team's shares always add up to its limit, so a grant is a transfer. Only a partition's
 /// leader may lower its share, and not below the usage there. Each transaction therefore compares the fencing
-/// tokens and fences of all partitions that it decided for, and a partition grants nothing while a write with
-/// an unknown result may still be applied. Placements compare the team's record, so that they fail after a
-/// concurrent grant.
+/// tokens and fences of all partitions for which it changes something, and a partition grants nothing while a
+/// write with an unknown result may still be applied. Placements compare the team's record, so that they fail
+/// after a concurrent grant.
 ///
 /// `request_withdrawn_at` is the time of this controller's last withdrawal of a request.
 QuotaSharingPlan plan_quota_sharing(const controller::ControllerState& state,
--- a/tests/scheduling/quota_sharing_test.cpp
+++ b/tests/scheduling/quota_sharing_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr core::PartitionId kOwnPartition{0};  // a.0, led here; b.0 has another leader
 constexpr core::TeamId kTeam{0};
+constexpr std::uint64_t kFencingToken = 40;
 const core::TimePoint kNow(core::to_duration(100));
 
 core::Resources gpus(double n) { return {0, n, 0}; }
@@ -127,5 +128,36 @@
   EXPECT_TRUE(plan_quota_sharing(deployment.state, shortages, {}, kNow).transactions.empty());
 }
 
+// Guards against a transaction over the limit on compares, which the store refuses for good: a leader of many
+// partitions, all of which request more.
+TEST(QuotaSharing, RequestsOfManyPartitionsNeedSeveralTransactionsWithinTheLimits) {
+  constexpr std::uint32_t kPartitions = 12;
+  auto settings = single_partition_settings();
+  settings.store_limits.max_transaction_writes = 5;
+  config::Tuning tuning;
+  tuning.partitions_per_zone = kPartitions;
+  controller::ControllerState state(settings, tuning);
+  state.cache_loaded = true;
+  state.incarnation = 7;
+  std::vector<QuotaShortage> shortages;
+  for (std::uint32_t p = 0; p < kPartitions; ++p) {
+    state.cache.apply({"parts/a." + std::to_string(p), boost::json::parse(R"({"owner":"perch-0","inc":7})"),
+                       kFencingToken});
+    shortages.push_back({core::PartitionId{p}, kTeam, gpus(800.0 / kPartitions), gpus(16), gpus(700)});
+  }
+  state.cache.synchronized(kFencingToken);
+  std::size_t transactions = 0;
+  for (std::uint64_t revision = 100;; ++revision) {
+    const auto plan = plan_quota_sharing(state, shortages, {}, kNow);
+    if (plan.transactions.empty()) break;
+    ASSERT_LT(++transactions, kPartitions);
+    const auto& planned = plan.transactions.at(0);
+    EXPECT_LE(planned.compares.size(), settings.store_limits.max_compares());
+    for (const auto& write : planned.writes) state.cache.apply({write.key, write.value, revision});
+  }
+  for (std::uint32_t p = 0; p < kPartitions; ++p)
+    EXPECT_GT(state.quota_shares(kTeam).requested(core::PartitionId{p}).gpus, 0) << p;
+}
+
 }  // namespace
 }  // namespace finchrun::scheduling
