Simulated store: as strict on requests as the protocol

Need: the stand-in answered 409 for failed conditions before it looked at limits and leases, and had no limits on bodies, keys, pages and the terms of leases. It would have let pass what a store may refuse.

Change: limits, then leases ("whatever the conditions"), then conditions; 64 KiB for a body, keys of 1 to 200 bytes without spaces, pages of at most 1,000 items and 512 KiB, leases of 0.1 to 600 s. It still has no limits on rates (429).

Result: StoreServiceCommit/* and StoreService.*.

--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -11,6 +11,23 @@
 std::uint64_t to_integer(const json::value& value) { return value.to_number<std::uint64_t>(); }
 ClientResponse json_response(int status, const json::object& body) { return {status, json::serialize(body)}; }
 
+ClientResponse bad_request(const char* reason) {
+  return json_response(http::status::kBadRequest, {{"error", reason}});
+}
+
+// The protocol's bounds of requests to the key-value store and of its responses.
+constexpr std::size_t kMaxBodyBytes = 64 * 1024;
+constexpr std::size_t kComparesPerWrite = 4;
+constexpr std::size_t kMaxKeyBytes = 200;
+constexpr std::size_t kMaxPageItems = 1000;
+constexpr std::size_t kMaxPageBytes = 500 * 1024;  // of the items; the response may have 512 KiB
+constexpr double kMinLeaseS = 0.1, kMaxLeaseS = 600;
+
+bool is_valid_key(const json::value& key) {
+  const auto& text = key.as_string();
+  return !text.empty() && text.size() <= kMaxKeyBytes && text.find(' ') == json::string::npos;
+}
+
 std::string query_parameter(const std::string& target, const std::string& key) {
   for (const char* separator : {"?", "&"}) {
     const auto position = target.find(separator + key + "=");
@@ -74,10 +91,38 @@
 
 ClientResponse StoreService::too_large(const char* reason) {
   ++rejected_for_size;
-  return json_response(http::status::kBadRequest, {{"error", reason}});
+  return bad_request(reason);
+}
+
+// Returns the refusal that no state of the store could change, if there is one.
+std::optional<ClientResponse> StoreService::refuse(const json::object& transaction, std::size_t body_bytes) {
+  if (!transaction.contains("when") || !transaction.contains("then")) return bad_request("field missing");
+  const auto& compares = transaction.at("when").as_array();
+  const auto& writes = transaction.at("then").as_array();
+  if (body_bytes > kMaxBodyBytes) return too_large("body too large");
+  if (writes.size() > max_transaction_writes) return too_large("too many changes");
+  if (compares.size() > kComparesPerWrite * max_transaction_writes) return too_large("too many conditions");
+  for (const auto& compare : compares)
+    if (!is_valid_key(compare.at("k"))) return bad_request("bad key");
+  for (const auto& write : writes) {
+    const auto& fields = write.as_object();
+    if (!is_valid_key(fields.at(fields.contains("set") ? "set" : "delete"))) return bad_request("bad key");
+    if (fields.contains("set") && json::serialize(fields.at("data")).size() > max_value_bytes)
+      return too_large("value too large");
+  }
+  return std::nullopt;
 }
 
-ClientResponse StoreService::commit(const json::object& transaction) {
+// The protocol does not say which refusal comes first. This one sees the limits and the leases before the
+// conditions, which hides the least.
+ClientResponse StoreService::commit(const std::string& body) {
+  const auto transaction = json::parse(body).as_object();
+  if (const auto refusal = refuse(transaction, body.size())) return *refusal;
+  const auto& writes = transaction.at("then").as_array();
+  for (const auto& write : writes)
+    if (const auto* store_lease = write.as_object().if_contains("hold");
+        store_lease && !store_leases_.contains(to_integer(*store_lease)))
+      return bad_request("no such lease");
   json::array failed;
   for (const auto& condition : transaction.at("when").as_array()) {
     const std::string key(condition.at("k").as_string());
@@ -87,17 +132,6 @@
   }
   if (!failed.empty())
     return json_response(http::status::kConflict, {{"failed", failed}, {"epoch", revision_}});
-  const auto& writes = transaction.at("then").as_array();
-  if (writes.size() > max_transaction_writes) return too_large("too many changes");
-  if (transaction.at("when").as_array().size() > 4 * max_transaction_writes)
-    return too_large("too many conditions");
-  for (const auto& write : writes)
-    if (const auto* store_lease = write.as_object().if_contains("hold");
-        store_lease && !store_leases_.contains(to_integer(*store_lease)))
-      return json_response(http::status::kBadRequest, {{"error", "no such lease"}});
-  for (const auto& write : writes)
-    if (write.as_object().contains("set") && json::serialize(write.at("data")).size() > max_value_bytes)
-      return too_large("value too large");
   if (!writes.empty()) ++revision_;
   for (const auto& write : writes) {
     if (const auto* key = write.as_object().if_contains("set")) {
@@ -132,19 +166,20 @@
 
 ClientResponse StoreService::page(const std::string& after, std::size_t limit) const {
   json::array items;
+  std::size_t bytes = 0;
   bool more = false;
   for (auto it = items_.upper_bound(after); it != items_.end(); ++it) {
-    if (items.size() == limit) {
-      more = true;
-      break;
-    }
-    items.push_back(
-        json::object{{"k", it->first}, {"data", it->second.value}, {"stamp", it->second.revision}});
+    json::object item{{"k", it->first}, {"data", it->second.value}, {"stamp", it->second.revision}};
+    bytes += json::serialize(item).size() + 1;
+    more = items.size() == std::min(limit, kMaxPageItems) || bytes > kMaxPageBytes;
+    if (more) break;
+    items.push_back(std::move(item));
   }
   return json_response(http::status::kOk, {{"items", items}, {"hasNext", more}, {"epoch", revision_}});
 }
 
 ClientResponse StoreService::grant_lease(double ttl_s, TimePoint now) {
+  if (ttl_s < kMinLeaseS || ttl_s > kMaxLeaseS) return bad_request("ttlMs out of range");
   store_leases_[next_store_lease_] = {now + core::to_duration(ttl_s), ttl_s};
   return json_response(http::status::kOk, {{"hold", next_store_lease_++}});
 }
@@ -162,7 +197,7 @@
   constexpr double kMsPerS = 1000;
   if (outage) return {http::status::kServiceUnavailable, "{}"};
   expire_leases(now);
-  if (target == "/commit") return commit(json::parse(body).as_object());
+  if (target == "/commit") return commit(body);
   if (target.starts_with("/follow")) return changes_since(std::stoull(query_parameter(target, "from")));
   if (target.starts_with("/store?"))
     return page(query_parameter(target, "from"), std::stoul(query_parameter(target, "limit")));
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -54,7 +54,8 @@
     std::optional<json::value> value;
   };
   void expire_leases(TimePoint now);
-  ClientResponse commit(const json::object& transaction);
+  ClientResponse commit(const std::string& body);
+  std::optional<ClientResponse> refuse(const json::object& transaction, std::size_t body_bytes);
   [[nodiscard]] ClientResponse changes_since(std::uint64_t revision) const;
   [[nodiscard]] ClientResponse page(const std::string& after, std::size_t limit) const;
   ClientResponse grant_lease(double ttl_s, TimePoint now);
