--- a/.ci/lint.sh
+++ b/.ci/lint.sh
@@ -10,5 +10,5 @@
   xargs -P "$(nproc)" -I{} clang-tidy-19 --quiet --checks="$structure_checks" {} -- -std=c++20 -Isrc -DBOOST_ASIO_DISABLE_BOOST_REGEX '-DFINCHRUN_VERSION="lint"'
 find src/agent src/config src/jobs src/ledger src/membership src/sched src/wire src/state/state_cache.cpp \
   src/state/job_table.cpp src/state/assignment_table.cpp src/state/coordination_records.cpp src/state/records.cpp \
-  src/state/keys.cpp src/state/transaction.cpp -name '*.cpp' |
+  src/state/keys.cpp src/state/transaction.cpp src/state/transaction_limits.cpp -name '*.cpp' |
   sort | xargs -P "$(nproc)" -I{} clang-tidy --quiet --checks=-readability-identifier-naming {} -- -std=c++20 -Isrc
