--- a/tests/app/store_limits_test.cpp
+++ b/tests/app/store_limits_test.cpp
@@ -49,7 +49,7 @@
   EXPECT_GT(cluster.store.rejected_for_size, 0u) << "the store must refuse something";
 }
 
-SeedRange seeds() { return seeds_from("FINCHRUN_LIMIT_DAYS", {700, 706}); }
+SeedRange seeds() { return seeds_from("FINCHRUN_LIMIT_DAYS", {710, 716}); }
 
 /// A day with limits drawn from the seed. Many jobs of one task, arrays and gangs wait for the first machines
 /// at the same time, while controllers crash and the store is out for a while.
@@ -57,7 +57,7 @@
  public:
   explicit LimitDay(std::uint32_t seed) : cluster(seed, 3, 0), random_(seed * 7919) {
     cluster.faults_over_at = core::SteadyClock::now() + core::to_duration(kFaultsOverS);
-    enforce(cluster, {1000, 200, random_s(1, 8), static_cast<int>(4 + random_() % 13)});
+    enforce(cluster, {1000, 200, random_s(1, 3), static_cast<int>(4 + random_() % 4)});
     for (int wave = 0; wave < 3; ++wave) cluster.after(6 + 25 * wave, [this] { submit_wave(); });
     for (int i = 0; i < 2; ++i)
       cluster.after(random_s(8, 70), [this] { cluster.crash(random_() % 3, random_s(0.3, 5)); });
@@ -80,7 +80,7 @@
       cluster.submit(tasks, gang, kSmallTaskGpus, random_s(3, 12), team, priority, false, zone);
     };
     for (auto singles = 5 + random_() % 30; singles > 0; --singles) submit(1, false, "high");
-    submit(static_cast<int>(20 + random_() % 100), false, "normal");
+    submit(static_cast<int>(50 + random_() % 150), false, "normal");
     submit(static_cast<int>(2 + random_() % 10), true, "normal");
   }
   std::mt19937 random_;
